--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// play hands each instance its notes in their order. A start or a death in mid-batch ends what it heard before.
+// play hands each instance its notes in their order. A start or a death in mid-batch ends what came before.
 func play(live map[logic.DirectorID]*logic.Director, b wire.Batch, reply *wire.Reply) error {
 	var turns []turn
 	at := map[logic.DirectorID]int{}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -137,8 +137,8 @@
 		return l
 	}
 	in := object{raw: values}
-	for name, to := range map[string]**float64{"utilization": &l.Busy, "throughput": &l.Rate, "backlog": &l.Queue,
-		"outstanding": &l.InHand, "recent_ms": &l.Recent, "errors_per_s": &l.Errors} {
+	for name, to := range map[string]**float64{"utilization": &l.Busy, "throughput": &l.Rate,
+		"backlog": &l.Queue, "outstanding": &l.InHand, "recent_ms": &l.Recent, "errors_per_s": &l.Errors} {
 		if _, ok := in.get(name, false); ok {
 			n := in.number(name, false)
 			*to = &n
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -1,10 +1,12 @@
-// The machinery the parts run on: inboxes and the loop that empties them, decaying sums, chance. No decisions.
+// The machinery the parts run on: inboxes and the loop that empties them, decaying sums, ordered maps and
+// chance. No decisions.
 package logic
 
 import (
 	"cmp"
 	"encoding/binary"
 	"hash/crc32"
+	"iter"
 	"math"
 	"slices"
 )
@@ -50,6 +52,8 @@
 	b.waiting = append(b.waiting, n)
 }
 
+func (l *loop) order(o Order) { l.out = append(l.out, o) }
+
 func (l *loop) empty() {
 	for len(l.ready) > 0 {
 		p := l.ready[0]
@@ -72,18 +76,87 @@
 	return float64(crc32.ChecksumIEEE(raw[:])) / (1 << 32)
 }
 
-func b2i(b bool) int {
-	if b {
-		return 1
+// shelf is a map that is walked in the order of its keys, so that the same notes give the same orders.
+type shelf[K cmp.Ordered, V any] struct {
+	keys []K
+	vals map[K]V
+}
+
+func (s *shelf[K, V]) get(k K) V { return s.vals[k] }
+
+func (s *shelf[K, V]) has(k K) bool { _, ok := s.vals[k]; return ok }
+
+func (s *shelf[K, V]) put(k K, v V) {
+	if s.vals == nil {
+		s.vals = map[K]V{}
+	}
+	if at, found := slices.BinarySearch(s.keys, k); !found {
+		s.keys = slices.Insert(s.keys, at, k)
+	}
+	s.vals[k] = v
+}
+
+func (s *shelf[K, V]) drop(k K) {
+	delete(s.vals, k)
+	if at, found := slices.BinarySearch(s.keys, k); found {
+		s.keys = slices.Delete(s.keys, at, at+1)
+	}
+}
+
+func (s *shelf[K, V]) len() int { return len(s.keys) }
+
+// all walks what was there at the start; what is dropped on the way is passed over.
+func (s *shelf[K, V]) all() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for _, k := range slices.Clone(s.keys) {
+			if v, ok := s.vals[k]; ok && !yield(k, v) {
+				return
+			}
+		}
 	}
-	return 0
 }
 
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
+// since keeps the time from which something has been waiting.
+func since(from *Millis, waits bool, now Millis) {
+	if !waits {
+		*from = 0
+	} else if *from == 0 {
+		*from = now
 	}
-	slices.Sort(keys)
-	return keys
+}
+
+// lines is a table's content, or the parts of a slice.
+type lines []line
+
+func (ls lines) whole() (w float64) {
+	for _, l := range ls {
+		w += l.weight
+	}
+	return w
+}
+
+func (ls lines) holds(id HostID) bool {
+	return slices.ContainsFunc(ls, func(l line) bool { return l.host == id })
+}
+
+func (ls lines) plus(id HostID, weight float64) lines {
+	for i := range ls {
+		if ls[i].host == id {
+			ls[i].weight += weight
+			return ls
+		}
+	}
+	return append(ls, line{id, weight})
+}
+
+func (ls lines) sorted() lines {
+	slices.SortFunc(ls, func(a, b line) int { return cmp.Compare(a.host, b.host) })
+	return ls
+}
+
+func bit(on bool, at int) RouteSet {
+	if on {
+		return 1 << at
+	}
+	return 0
 }
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -3,54 +3,47 @@
 
 // bounds are the figures that decisions use, derived from the facts of the start.
 type bounds struct {
-	sliced, oneOwner, probes, asks, advice bool
-	listed                                 bool // listed weights mean something
-	freshRoom                              float64
-	queue, pace, head                      float64
-	messages                               int
-	span, hurry, settle, reportEvery       Millis
-	levels                                 Valve
-	ways                                   []int     // further tries that can't take effect twice, by route
-	cheap                                  []RouteID // routes by importance, least first
-	writes                                 RouteSet
-	ownZone                                RouteSet
-	allRoutes                              RouteSet
-	total                                  int
+	sliced, oneOwner, asks, advice   bool
+	listed                           bool    // listed weights mean something
+	freshRoom                        float64 // of its share, for a host just started
+	queue, head                      float64 // lines in the channel; lines a message
+	messages                         int     // most messages to a proxy within span; 0: any
+	span, hurry, settle, reportEvery Millis
+	levels                           Valve
+	ways                             []int     // further tries that can't take effect twice, by route
+	cheap                            []RouteID // routes by importance, least first
+	writes, ownZone, everyRoute      RouteSet
 }
 
 // Notes between the parts.
 type (
-	pulse    struct{} // a beat: judge, check, send what is due
-	standing struct { // a host's word on itself, to placer and gate
-		id                HostID
-		usable, trial     bool
-		fresh             bool
-		prior, rate, busy float64
-		weighed           float64 // calls a second for each unit of pressure; 0: not known
-		zone              ZoneID
-		cell              CellID
-		from              *host
+	settleNow struct{} // all of the batch is heard: act on it
+	standing  struct { // a host's word on itself, to placer and gate
+		id                   HostID
+		usable, trial, fresh bool
+		prior                float64 // listed weight
+		weighed              float64 // calls a second for each unit of pressure; 0: not known
+		busy, loss           float64 // busy share, -1: not known; share of tries lost
+		flow                 float64 // tries ended lately
+		zone                 ZoneID
+		cell                 CellID
+		from                 *host
 	}
-	expected struct{ rate float64 } // calls a second that the placer has laid on a host
+	fleet    struct{ pressure, loss float64 } // demand over capacity; share of tries lost
+	expected struct{ rate float64 }           // calls a second that the placer has laid on a host
 	wanted   struct {
 		table  TableID
-		lines  []line
+		lines  lines
 		urgent bool
 	}
-	levelled struct { // wanted level and way, by route
+	levelled struct { // wanted level and further tries, by route
 		level []float64
 		tries []int
 	}
-	bound struct {
-		proxy ProxyID
+	kept struct { // the store's lines of a slice
 		table TableID
+		lines lines
 	}
-	disowned struct{ table TableID }
-	kept     struct { // the store's lines of a slice
-		table TableID
-		lines []line
-	}
-	settleNow struct{}
 )
 
 type line struct {
@@ -62,15 +55,14 @@
 type Director struct {
 	inbox
 	loop
-	hosts   map[HostID]*host
-	ids     []HostID
-	place   *placer
-	gate    *gate
-	publish *publisher
-	stored  map[TableID][]line
-	ticking bool
-	asked   Millis
-	follows bool
+	hosts    shelf[HostID, *host]
+	stored   shelf[TableID, lines]
+	place    *placer
+	gate     *gate
+	publish  *publisher
+	ticking  bool
+	askAgain Millis
+	follows  bool
 }
 
 // host judges one host from what little is heard of it.
@@ -83,15 +75,14 @@
 	entry                    Entry
 	known                    bool
 	ended, lost              sum
-	rate, press, heard, busy sum
-	lastLine, gap            Millis
+	rate, press, busy, heard sum
+	lastLine, gap            Millis  // when last heard of, and how long that takes as a rule
 	due                      float64 // calls a second laid on it
-	dueSince                 Millis
-	badSince, outUntil       Millis
+	dueSince, badSince       Millis
+	outUntil, outFor         Millis
 	freshUntil               Millis
-	outFor                   Millis
+	around                   fleet
 	state                    hostState
-	changed                  bool
 }
 
 type hostState int
@@ -108,15 +99,17 @@
 	load, share float64
 }
 
-// piece is one slice (or, at sites without slices, one proxy's keys) in the placer's hands.
+// piece is one slice (or, at sites without slices, one proxy's calls) in the placer's hands.
 type piece struct {
-	parts  []line // weight is the part of the slice, adding up to 1
+	num    TableID
+	parts  lines   // weight is the part of the slice; all add up to 1
+	free   float64 // the part that the run at hand is to place
 	spare  HostID
 	heat   sum
 	since  Millis
 	heard  bool
-	weight float64 // calls a second, as used in the run at hand
-	told   []line
+	weight float64 // calls a second
+	told   lines
 }
 
 // leaf is an aligned block of slices, or a part of one slice.
@@ -129,15 +122,13 @@
 type placer struct {
 	inbox
 	*loop
-	to        *publisher
-	seats     map[HostID]*seat
-	ids       []HostID
-	own       map[TableID]*piece
-	nums      []TableID
-	heardAny  Millis
-	nextCheck Millis
-	past      int
-	dirty     bool
+	to              *publisher
+	seats           shelf[HostID, *seat]
+	own             shelf[TableID, *piece]
+	firstHeat, next Millis
+	past            int
+	dirty           bool
+	around          fleet
 }
 
 // gate throttles the least important calls when the fleet can't do all, and says when to try again.
@@ -145,42 +136,39 @@
 	inbox
 	*loop
 	to     *publisher
-	seats  map[HostID]standing
+	place  *placer
+	seats  shelf[HostID, standing]
 	asked  []sum
-	level  float64 // 1: all; each route takes its turn on the way down
+	level  float64 // number of routes let in whole, the most important first
 	next   Millis
-	joined int
+	joined float64
 	told   levelled
 }
 
 // stream is a joined proxy; table is what it is bound to at sites without slices.
 type stream struct {
-	table TableID
-	wants TableID
-	zone  ZoneID
-	bound bool
+	table, wants TableID
+	zone         ZoneID
+	bound        bool
 }
 
-// flight is one reply's messages on their way, by what each proxy was sent.
+// flight is one reply's messages on their way, with the lines sent to each proxy.
 type flight struct {
 	serial SerialID
-	left   map[ProxyID]float64
+	left   shelf[ProxyID, float64]
 }
 
 // publisher turns what is wanted into the fewest messages the channel is sure to carry.
 type publisher struct {
 	inbox
 	*loop
-	stands, wants map[TableID][]line
-	urgent        map[TableID]bool
-	since         Millis // first change that waits
-	hurrySince    Millis
-	streams       map[ProxyID]*stream
-	sent          []Millis
-	flights       []flight
-	queued        float64
-	queuedAt      Millis
-	serial        SerialID
-	levels, stood levelled
-	shut          map[TableID]Millis // single owners: no writes until the former owner's are settled
+	stands, wants     shelf[TableID, lines]
+	urgent            shelf[TableID, bool]
+	since, hurrySince Millis // since when changes, and removals, wait
+	streams           shelf[ProxyID, *stream]
+	sent              []Millis
+	flights           []*flight
+	serial            SerialID
+	levels, stood     levelled
+	shut              shelf[TableID, Millis] // single owners: no writes until the former owner's are settled
 }
--- /dev/null
+++ b/logic/play_test.go
@@ -0,0 +1,376 @@
+package logic
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// stage plays one scenario: it stands in for the store, the proxies and the clock, nothing more. The notation
+// is told in scenarios/README.md.
+type stage struct {
+	t        *testing.T
+	where    string
+	facts    Facts
+	d        *Director
+	now      Millis
+	notes    []any
+	due      []Millis
+	tables   map[TableID]map[HostID]float64
+	levels   map[string]Throttle
+	bound    map[ProxyID]TableID
+	joined   map[ProxyID]bool
+	acks     map[Millis][]Applied
+	feeds    map[string][]any
+	every    Millis
+	lastFeed Millis
+	sent     []Millis
+	deaf     bool
+	orders   []Order
+	moved    int
+}
+
+func number(s string) float64 {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		panic("not a number: " + s)
+	}
+	return f
+}
+
+// pairs reads a:b words.
+func pairs(words []string) (out [][2]float64) {
+	for _, w := range words {
+		a, b, _ := strings.Cut(w, ":")
+		out = append(out, [2]float64{number(a), number(b)})
+	}
+	return out
+}
+
+func (s *stage) setFacts(words []string) {
+	s.facts = Facts{Directors: 1, Slices: 8, QueueLimit: 5000, HeadLines: 10, LinesPerSecond: 5000, ColdFrom: 0.2,
+		TipMultiple: 3, WarmAfter: 15000, FallAfter: 2000, DrainGrace: 2000, Transit: 200, WorstTransit: 500,
+		MessageSpan: 10000, ReportEvery: 500, Levels: LevelShare, WriteLease: 2500, WriteSettle: 4000,
+		Routes: []Route{{SLO: 1000, Importance: 1, Repeat: Repeatable},
+			{SLO: 1000, Importance: 3, Repeat: Mutating, Writes: true}}}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		switch k {
+		case "slices":
+			s.facts.Slices = int(number(v))
+		case "messages":
+			s.facts.MessageLimit = int(number(v))
+		case "queue":
+			s.facts.QueueLimit = number(v)
+		case "weighted":
+			s.facts.Weighted = true
+		case "owner":
+			s.facts.OneOwner = true
+		case "ask":
+			s.facts.AsksForList = true
+		case "advice":
+			s.facts.GoneIsAdvice = true
+		case "keyed":
+			s.facts.Routes[1].Repeat = Keyed
+		case "ownzone":
+			s.facts.Routes[0].OwnZone = true
+		default:
+			panic("no such fact: " + k)
+		}
+	}
+	s.d = New(7, s.facts)
+}
+
+func (s *stage) do(words []string) {
+	switch rest := words[1:]; words[0] {
+	case "facts":
+		s.setFacts(rest)
+	case "list", "whole", "disk":
+		kind := map[string]RosterKind{"list": Changes, "whole": Whole, "disk": FromDisk}[words[0]]
+		r := Roster{Kind: kind}
+		for _, w := range rest { // host=state[@born][/zone][*weight], a cell a host
+			id, state, _ := strings.Cut(w, "=")
+			state, weight, has := strings.Cut(state, "*")
+			e := Entry{Host: HostID(number(id)), Weight: 1}
+			if e.Cell = CellID(e.Host); has {
+				e.Weight = number(weight)
+			}
+			if before, zone, has := strings.Cut(state, "/"); has {
+				state, e.Zone = before, ZoneID(number(zone))
+			}
+			if before, born, has := strings.Cut(state, "@"); has {
+				state, e.Born = before, Millis(number(born))
+			}
+			e.State = map[string]HostState{"up": Up, "draining": Draining, "gone": Gone}[state]
+			r.Entries = append(r.Entries, e)
+		}
+		s.notes = append(s.notes, r)
+	case "refused":
+		s.notes = append(s.notes, Roster{Kind: AskFailed})
+	case "give":
+		for _, w := range strings.Split(rest[0], ",") {
+			t := TableID(number(w))
+			s.notes = append(s.notes, Custody{t, true})
+			s.tables[t] = map[HostID]float64{}
+			for _, p := range pairs(rest[1:]) {
+				s.notes = append(s.notes, OnRecord{t, HostID(p[0]), p[1]})
+				s.tables[t][HostID(p[0])] = p[1]
+			}
+		}
+	case "take":
+		s.notes = append(s.notes, Custody{TableID(number(rest[0])), false})
+		delete(s.tables, TableID(number(rest[0])))
+	case "join":
+		for _, w := range rest {
+			s.notes = append(s.notes, Joined{Proxy: ProxyID(number(w)), Rate: 5})
+			s.joined[ProxyID(number(w))] = true
+		}
+	case "left":
+		p := ProxyID(number(rest[0]))
+		s.notes = append(s.notes, Left{p})
+		delete(s.joined, p)
+		delete(s.bound, p)
+	case "heat", "asked": // calls of route 0 in each report
+		s.feeds[words[0]] = nil
+		for _, p := range pairs(rest) {
+			var n any = Heat{Slice: TableID(p[0]), Over: s.every, Calls: int(p[1])}
+			if words[0] == "asked" {
+				n = Asked{Proxy: ProxyID(p[0]), Over: s.every, Calls: int(p[1])}
+			}
+			s.feeds[words[0]] = append(s.feeds[words[0]], n)
+		}
+	case "met": // host:ended/lost/busy[/rate]; none: nothing is heard of the host
+		id, what, _ := strings.Cut(rest[0], ":")
+		if s.feeds["met"+id] = nil; what != "none" {
+			f := strings.Split(what, "/")
+			m := Met{Host: HostID(number(id)), Over: s.every, Spent: 200, Ended: int(number(f[0])), Lost: int(number(f[1]))}
+			if len(f) > 2 {
+				busy := number(f[2])
+				m.Load.Busy = &busy
+			}
+			if len(f) > 3 {
+				rate := number(f[3])
+				m.Load.Rate = &rate
+			}
+			s.feeds["met"+id] = []any{m}
+		}
+	case "deaf": // proxies own up to nothing any more
+		s.deaf = true
+	case "run":
+		s.handle()
+		for end := s.now + Millis(number(rest[0])); s.now < end; {
+			s.now += 50
+			s.tick()
+		}
+	case "now":
+		s.handle()
+	case "restart":
+		s.d, s.due, s.notes = New(8, s.facts), nil, nil
+		clear(s.acks)
+	case "mark":
+		s.moved, s.orders, s.sent = 0, nil, nil
+	case "expect":
+		s.expect(rest)
+	default:
+		panic("no such word: " + words[0])
+	}
+}
+
+func (s *stage) tick() {
+	s.due = slices.DeleteFunc(s.due, func(at Millis) bool {
+		if at <= s.now {
+			s.notes = append(s.notes, Due{})
+		}
+		return at <= s.now
+	})
+	for at := range s.acks {
+		if at <= s.now {
+			for _, a := range s.acks[at] {
+				s.notes = append(s.notes, a)
+			}
+			delete(s.acks, at)
+		}
+	}
+	if s.now-s.lastFeed >= s.every {
+		s.lastFeed = s.now
+		for _, name := range keysOf(s.feeds) {
+			s.notes = append(s.notes, s.feeds[name]...)
+		}
+	}
+	if len(s.notes) > 0 {
+		s.handle()
+	}
+}
+
+func keysOf(m map[string][]any) (keys []string) {
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// main is the host with the most weight in a table.
+func (s *stage) main(t TableID) (best HostID) {
+	for id, w := range s.tables[t] {
+		if w > s.tables[t][best] {
+			best = id
+		}
+	}
+	return best
+}
+
+func (s *stage) handle() {
+	before := map[TableID]HostID{}
+	for t := range s.tables {
+		before[t] = s.main(t)
+	}
+	orders := s.d.Handle(s.now, s.notes)
+	s.notes = nil
+	wrote := false
+	for _, o := range orders {
+		s.orders = append(s.orders, o)
+		switch o := o.(type) {
+		case SetLine:
+			wrote = true
+			if s.tables[o.Table] == nil || s.facts.OneOwner {
+				s.tables[o.Table] = map[HostID]float64{}
+			}
+			if s.tables[o.Table][o.Host] = o.Weight; o.Weight == 0 {
+				delete(s.tables[o.Table], o.Host)
+			}
+		case Throttle:
+			wrote = true
+			for r := range s.facts.Routes {
+				if o.Routes&(1<<r) != 0 {
+					s.levels[fmt.Sprint(o.Table, ":", r)] = o
+				}
+			}
+		case Bind:
+			wrote = true
+			s.bound[o.Proxy] = o.Table
+		case After:
+			s.due = append(s.due, s.now+o.In)
+		case Stamp:
+			for p := range s.joined {
+				if !s.deaf {
+					s.acks[s.now+300] = append(s.acks[s.now+300], Applied{Proxy: p, Serial: o.Serial, Spent: 300})
+				}
+			}
+			slices.SortFunc(s.acks[s.now+300], func(a, b Applied) int { return int(a.Proxy - b.Proxy) })
+		}
+	}
+	if wrote && len(s.joined) > 0 {
+		s.sent = append(s.sent, s.now)
+	}
+	for t, lines := range s.tables {
+		if len(lines) == 0 && before[t] != 0 {
+			s.t.Errorf("%s: table %d is bare at %v", s.where, t, s.now)
+		}
+		if before[t] != 0 && s.main(t) != before[t] {
+			s.moved++
+		}
+	}
+}
+
+// load is the weight of a host over all tables, in whole slices.
+func (s *stage) load(id HostID) (sum float64) {
+	for _, lines := range s.tables {
+		whole := 0.0
+		for _, w := range lines {
+			whole += w
+		}
+		sum += lines[id] / max(whole, 1e-9)
+	}
+	return sum
+}
+
+func (s *stage) most(span Millis) (most int) {
+	for i, at := range s.sent {
+		n := 0
+		for _, x := range s.sent[:i+1] {
+			if at-x < span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// expect compares: a quantity, then is, over or under, then a number.
+func (s *stage) expect(w []string) {
+	var got float64
+	switch w[0] {
+	case "main": // of a table
+		got = float64(s.main(TableID(number(w[1]))))
+	case "weight": // of a line: table host
+		got = s.tables[TableID(number(w[1]))][HostID(number(w[2]))]
+	case "lines": // of a table
+		got = float64(len(s.tables[TableID(number(w[1]))]))
+	case "load": // of a host
+		got = s.load(HostID(number(w[1])))
+	case "moved":
+		got = float64(s.moved)
+	case "messages": // most within a span
+		got = float64(s.most(Millis(number(w[1]))))
+	case "level": // table route
+		got = s.levels[w[1]+":"+w[2]].Level
+	case "tries":
+		got = float64(s.levels[w[1]+":"+w[2]].Tries)
+	case "bound":
+		got = float64(s.bound[ProxyID(number(w[1]))])
+	case "orders": // of a kind
+		for _, o := range s.orders {
+			if strings.HasSuffix(fmt.Sprintf("%T", o), "."+w[1]) {
+				got++
+			}
+		}
+	default:
+		panic("nothing to expect of " + w[0])
+	}
+	want := number(w[len(w)-1])
+	if ok := map[string]bool{"is": got == want, "over": got > want, "under": got < want}[w[len(w)-2]]; !ok {
+		s.t.Errorf("%s: %s: got %v at %v", s.where, strings.Join(w, " "), got, s.now)
+	}
+}
+
+func play(t *testing.T, path string) []Order {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &stage{t: t, tables: map[TableID]map[HostID]float64{}, levels: map[string]Throttle{},
+		bound: map[ProxyID]TableID{}, joined: map[ProxyID]bool{}, acks: map[Millis][]Applied{},
+		feeds: map[string][]any{}, every: 500, now: 100000}
+	var all []Order
+	for i, text := range strings.Split(string(text), "\n") {
+		text, _, _ = strings.Cut(text, "#")
+		if words := strings.Fields(text); len(words) > 0 {
+			s.where = fmt.Sprintf("%s:%d", filepath.Base(path), i+1)
+			s.do(words)
+			all = append(all, s.orders...)
+		}
+	}
+	return all
+}
+
+// Every scenario is played twice: the same notes must give the same orders.
+func TestScenarios(t *testing.T) {
+	paths, _ := filepath.Glob("scenarios/*.txt")
+	if len(paths) == 0 {
+		t.Fatal("no scenarios")
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
+			if first := play(t, path); !t.Failed() && !reflect.DeepEqual(first, play(t, path)) {
+				t.Error("the same notes gave other orders")
+			}
+		})
+	}
+}
