Gate: late tries are set against the level of their time

Now what tried lately is compared with what hosts could do, relative to the level then in force, and capacity isn't learnt from a jam.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,6 +25,7 @@
 	freshFor    = Millis(10000)
 	failFor     = Millis(3000) // most tries lost for so long: removed
 	beat        = Millis(100)
+	reportLate  = Millis(2000) // how old the mean try of a report is when read, beside the report's own period
 
 	demandMemory = Millis(6000)
 	healthMemory = Millis(1500)
@@ -39,9 +40,8 @@
 	ordinaryPart = 0.5 // of the queue and of the messages; the rest is for removals
 	urgentPart   = 0.85
 
-	strain    = 0.9 // pressure that the gate steers to
-	levelGain = 0.35
-	levelEase = 0.05
+	strain    = 0.9 // tries for each that the fleet can do: the gate steers to it
+	levelEase = 0.1
 	levelLow  = 0.05
 
 	commonTable TableID = 0
@@ -52,7 +52,7 @@
 	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList,
 		advice: f.GoneIsAdvice, listed: f.Weighted, queue: f.QueueLimit,
 		head: f.HeadLines, messages: f.MessageLimit, span: f.MessageSpan, levels: f.Levels,
-		reportEvery: f.ReportEvery, settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
+		reportEvery: max(1, f.ReportEvery), lag: f.ReportEvery/2 + f.Transit + reportLate, settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
 	b.freshRoom = min(freshRoom, max(0.05, f.ColdFrom*f.TipMultiple/3))
 	b.hurry = max(0, min(gather, (f.DrainGrace-f.WorstTransit)/4))
@@ -76,7 +76,8 @@
 	d.seed, d.rules = seed, derive(f)
 	d.publish = &publisher{loop: &d.loop}
 	d.place = &placer{loop: &d.loop, to: d.publish}
-	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(len(f.Routes))}
+	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(len(f.Routes)),
+		usual: make([]float64, len(f.Routes)), past: []sum{{float64(len(f.Routes)), 0}}}
 	return d
 }
 
@@ -230,6 +231,14 @@
 	}
 	h.rate.add(h.now, loadMemory, rate)
 	h.press.add(h.now, loadMemory, press)
+	// Read as reports come in, so that the rate doesn't ripple with them.
+	part := (1 - math.Exp2(-float64(h.rules.reportEvery/healthMemory))) * 1000 / float64(h.rules.reportEvery)
+	h.flow = h.ended.read(h.now, healthMemory) * part
+	if m.Load.Busy != nil && m.Lost*3 < m.Ended {
+		// What a host can do is not learnt while its work is wasted, or a jam would teach that it can do nothing.
+		h.good.add(h.now, loadMemory, h.flow-h.lost.read(h.now, healthMemory)*part)
+		h.used.add(h.now, loadMemory, max(0.05, *m.Load.Busy))
+	}
 }
 
 // busyShare is the busy share lately reported, or -1.
@@ -286,8 +295,8 @@
 
 func (h *host) tell() {
 	ended := h.ended.read(h.now, healthMemory)
-	s := standing{id: h.id, fresh: h.now < h.freshUntil, prior: 1, busy: h.busyShare(), flow: ended,
-		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1), zone: h.entry.Zone, cell: h.entry.Cell, from: h}
+	s := standing{id: h.id, fresh: h.now < h.freshUntil, prior: 1, busy: h.busyShare(),
+		flow: min(h.flow, 2*ended), loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1), zone: h.entry.Zone, cell: h.entry.Cell, from: h}
 	up := h.known && h.entry.State == Up
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
@@ -299,6 +308,9 @@
 	if press, rate := h.press.read(h.now, loadMemory), h.rate.read(h.now, loadMemory); press > 0.3 && rate > 0 {
 		s.weighed = rate / press
 	}
+	if used := h.used.read(h.now, loadMemory); used > 0.01 {
+		s.able = h.good.read(h.now, loadMemory) / used
+	}
 	h.post(h.place, s)
 	h.post(h.gate, s)
 }
@@ -722,38 +734,50 @@
 	}
 }
 
-// weigh compares demand with what the fleet can do. Only hosts that report count, and a host's losses count
-// only with its busy share: what a dead host loses is no overload.
+// weigh compares the tries that reach the hosts with what these can do, and lets in the part that fits. Figures
+// are late: what they show is set against the level of that time, or each jam would be answered twice.
 func (g *gate) weigh() {
-	busy, of, lost, flow := 0.0, 0.0, 0.0, 0.0
+	able, tried, lost := 0.0, 0.0, 0.0
 	for _, s := range g.seats.all() {
-		if s.usable && s.busy >= 0 {
-			busy += s.busy * s.prior * (1 + 2*s.loss*s.busy)
-			of += s.prior
-		}
 		if s.usable {
-			lost, flow = lost+s.loss*s.flow, flow+s.flow
+			able, tried, lost = able+s.able, tried+s.flow, lost+s.loss*s.flow
 		}
 	}
-	around := fleet{busy / max(of, 1e-9), lost / max(flow, 1e-9)}
+	if able == 0 {
+		able = tried - lost // no busy shares here: what is answered is all that is known
+	}
+	around := fleet{tried / max(able, 0.1), lost / max(tried, 0.1)}
 	g.post(g.place, around)
 	for _, s := range g.seats.all() {
 		g.post(s.from, around)
 	}
+	top := float64(len(g.rules.cheap))
 	calls, all := make([]float64, len(g.rules.ways)), 0.0
 	for r := range min(len(g.asked), len(calls)) {
 		calls[r] = g.asked[r].read(g.now, demandMemory) * 1000 * math.Ln2 / float64(demandMemory)
-		all += calls[r]
+		if g.level == top {
+			g.usual[r] = calls[r] // a throttled route's calls come again and again and tell nothing of it
+		}
+		all += g.usual[r]
 	}
-	top := float64(len(g.rules.cheap))
-	if g.rules.levels != NoLevels && of > 0 && all > 0 {
-		// The step is in parts of all calls; the route whose turn it is may be few or many of them.
-		turn := g.rules.cheap[min(len(g.rules.cheap)-1, max(0, int(math.Ceil(top-g.level))-1))]
-		step := min(levelEase, levelGain*(strain/max(around.pressure, 0.01)-1))
-		if around.pressure > strain || around.pressure < strain-0.08 {
-			g.level = min(top, max(levelLow, g.level+min(0.5, max(-0.5, step*all/max(calls[turn], all/20)))))
+	for len(g.past) > 1 && g.past[1].at <= g.now-g.rules.lag {
+		g.past = g.past[1:]
+	}
+	if g.rules.levels != NoLevels && tried > 0 && all > 0 {
+		part := func(level float64) (sum float64) {
+			for i, r := range g.rules.cheap {
+				sum += min(1, max(0, level-(top-1-float64(i)))) * g.usual[r] / all
+			}
+			return sum
+		}
+		fits := max(levelLow, part(g.past[0].v)) * strain / max(around.pressure, 0.01)
+		want := top
+		for want > levelLow && part(want) > fits {
+			want -= levelLow
 		}
+		g.level = max(levelLow, min(want, g.level+levelEase))
 	}
+	g.past = append(g.past, sum{g.level, g.now})
 	now := levelled{make([]float64, len(calls)), make([]int, len(calls))}
 	for i, r := range g.rules.cheap {
 		part := max(levelLow, min(1, g.level-(top-1-float64(i))))
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -3,16 +3,16 @@
 
 // bounds are the figures that decisions use, derived from the facts of the start.
 type bounds struct {
-	sliced, oneOwner, asks, advice   bool
-	listed                           bool    // listed weights mean something
-	freshRoom                        float64 // of its share, for a host just started
-	queue, head                      float64 // lines in the channel; lines a message
-	messages                         int     // most messages to a proxy within span; 0: any
-	span, hurry, settle, reportEvery Millis
-	levels                           Valve
-	ways                             []int     // further tries that can't take effect twice, by route
-	cheap                            []RouteID // routes by importance, least first
-	writes, ownZone, everyRoute      RouteSet
+	sliced, oneOwner, asks, advice        bool
+	listed                                bool    // listed weights mean something
+	freshRoom                             float64 // of its share, for a host just started
+	queue, head                           float64 // lines in the channel; lines a message
+	messages                              int     // most messages to a proxy within span; 0: any
+	span, hurry, settle, reportEvery, lag Millis
+	levels                                Valve
+	ways                                  []int     // further tries that can't take effect twice, by route
+	cheap                                 []RouteID // routes by importance, least first
+	writes, ownZone, everyRoute           RouteSet
 }
 
 // Notes between the parts.
@@ -24,7 +24,7 @@
 		prior                float64 // listed weight
 		weighed              float64 // calls a second for each unit of pressure; 0: not known
 		busy, loss           float64 // busy share, -1: not known; share of tries lost
-		flow                 float64 // tries ended lately
+		flow, able           float64 // tries a second; what it could answer of them
 		zone                 ZoneID
 		cell                 CellID
 		from                 *host
@@ -74,7 +74,8 @@
 	gate                     *gate
 	entry                    Entry
 	known                    bool
-	ended, lost              sum
+	ended, lost, good, used  sum
+	flow                     float64 // tries a second
 	rate, press, busy, heard sum
 	lastLine, gap            Millis  // when last heard of, and how long that takes as a rule
 	due                      float64 // calls a second laid on it
@@ -139,7 +140,9 @@
 	place  *placer
 	seats  shelf[HostID, standing]
 	asked  []sum
-	level  float64 // number of routes let in whole, the most important first
+	usual  []float64 // calls a second by route when none was throttled
+	past   []sum     // levels of the last seconds
+	level  float64   // number of routes let in whole, the most important first
 	next   Millis
 	joined float64
 	told   levelled
