--- a/logic/logic.go
+++ b/logic/logic.go
@@ -775,6 +775,9 @@
 		for want > levelLow && part(want) > fits {
 			want -= levelLow
 		}
+		if around.pressure < strain*0.8 {
+			want = top // tries that don't answer to our level are no reason to stay low
+		}
 		g.level = max(levelLow, min(want, g.level+levelEase))
 	}
 	g.past = append(g.past, sum{g.level, g.now})
