--- a/logic/logic.go
+++ b/logic/logic.go
@@ -301,6 +301,7 @@
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
+	s.freshLeft = max(0, h.freshUntil-h.now)
 	s.usable, s.trial = up && h.state == serving, up && h.state == onTrial
 	if h.rules.listed && h.entry.Weight > 0 {
 		s.prior = h.entry.Weight
@@ -425,8 +426,9 @@
 				s.share *= min(2.5, max(0.1, s.weighed/s.prior/ratios[len(ratios)/2]))
 			}
 			if s.fresh {
-				// A part of an overload would be more than a cold host can bear.
-				s.share *= p.rules.freshRoom / max(1, p.around.pressure*p.around.pressure)
+				// Its room grows as it warms. A part of an overload would be more than it can bear.
+				grown := p.rules.freshRoom + (1-p.rules.freshRoom)*max(0, 1-float64(s.freshLeft/freshFor))
+				s.share *= grown / max(1, p.around.pressure*p.around.pressure)
 			}
 			shares += s.share
 		}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -28,6 +28,7 @@
 		zone                 ZoneID
 		cell                 CellID
 		from                 *host
+		freshLeft            Millis
 	}
 	fleet    struct{ pressure, loss float64 } // demand over capacity; share of tries lost
 	expected struct{ rate float64 }           // calls a second that the placer has laid on a host
