--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,8 @@
 // Package logic holds every decision of vetchwood, and they are all in this file.
 //
-// A program makes one Director for each start with New(seed, facts) and calls Handle(now, notes) whenever
-// something happened; the orders returned take effect in their order. The same notes give the same orders:
-// there is no clock, no I/O and nothing global. The interface (ids, facts, notes, orders) is in api.go, what
-// the parts hold in parts.go, their inboxes in loop.go. docs/design.md gives the reasons.
+// A program calls New(seed, facts) at each start and Handle(now, notes) whenever something happened; orders
+// take effect as they come. The same notes give the same orders: no clock, no I/O, nothing global. The
+// interface is in api.go, what parts hold in parts.go, their inboxes in loop.go, the reasons in docs/design.md.
 //
 // Parts: Director (custody, timers, list), a host actor for each host (health, capacity), placer (the block
 // tree and the paper's run), gate (levels, further tries), publisher (what stands, what is wanted, budget).
@@ -18,7 +17,7 @@
 const (
 	maximum     = 1.1          // imbalance tolerated, from the paper
 	chunk       = 1.0 / 40     // of the load: below it a leaf need only not overload
-	checkEvery  = Millis(2000) // two checks past the maximum call for a rerun
+	checkEvery  = Millis(1000) // two checks past the maximum call for a rerun
 	worthMoving = 0.9          // a rerun is installed when it leaves at most this of the imbalance
 	gather      = Millis(500)  // ordinary changes wait this long for company
 	freshRoom   = 0.25         // of its share, for a host that has just started
@@ -29,7 +28,7 @@
 
 	demandMemory = Millis(6000)
 	healthMemory = Millis(1500)
-	loadMemory   = Millis(6000)
+	loadMemory   = Millis(4000)
 
 	trialAfter  = Millis(5000) // first wait before a removed host is tried again, since few are; doubles
 	standbyPart = 0.02         // weight of a standby line beside a whole slice
@@ -40,6 +39,7 @@
 	ordinaryPart = 0.5 // of the queue and of the messages; the rest is for removals
 	urgentPart   = 0.85
 
+	full      = 0.8 // busy share from which a host that turns calls away has too much to do, not a fault
 	strain    = 0.9 // tries for each that the fleet can do: the gate steers to it
 	levelEase = 0.1
 	levelLow  = 0.05
@@ -77,7 +77,7 @@
 	d.publish = &publisher{loop: &d.loop}
 	d.place = &placer{loop: &d.loop, to: d.publish}
 	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(len(f.Routes)),
-		usual: make([]float64, len(f.Routes)), past: []sum{{float64(len(f.Routes)), 0}}}
+		asked: make([]sum, len(f.Routes)), usual: make([]float64, len(f.Routes)), past: []sum{{float64(len(f.Routes)), 0}}}
 	return d
 }
 
@@ -127,7 +127,6 @@
 			d.post(h, n)
 		}
 	case Asked:
-		// At sites without slices a proxy's calls are placed as a slice's are.
 		d.post(d, Heat{TableID(n.Proxy) + 1, n.Route, n.Over, n.Calls, n.Lost})
 	case Custody:
 		d.stored.drop(n.Slice)
@@ -152,7 +151,7 @@
 
 func (d *Director) roster(r Roster) {
 	if r.Kind == AskFailed {
-		d.follows, d.askAgain = false, d.now+checkEvery/2
+		d.follows, d.askAgain = false, d.now+checkEvery
 		return
 	}
 	named := map[HostID]bool{}
@@ -178,9 +177,7 @@
 	case Met:
 		h.met(n)
 	case expected:
-		if h.due == 0 && n.rate > 0 {
-			h.dueSince = h.now
-		}
+		since(&h.dueSince, n.rate > 0, h.now)
 		h.due = n.rate
 	case fleet:
 		h.around = n
@@ -203,7 +200,7 @@
 		}
 		if h.known {
 			h.enter(serving)
-			h.outFor, h.rate, h.press, h.busy, h.heard = 0, sum{}, sum{}, sum{}, sum{}
+			h.outFor, h.rate, h.press, h.full = 0, sum{}, sum{}, sum{}
 		}
 	}
 	h.entry, h.known = e, true
@@ -224,8 +221,7 @@
 	switch {
 	case m.Load.Busy != nil:
 		press = *m.Load.Busy
-		h.busy.add(h.now, healthMemory, press)
-		h.heard.add(h.now, healthMemory, 1)
+		h.full.add(h.now, healthMemory, press-full)
 	case m.Load.InHand != nil:
 		press = *m.Load.InHand
 	}
@@ -241,39 +237,25 @@
 	}
 }
 
-// busyShare is the busy share lately reported, or -1.
-func (h *host) busyShare() float64 {
-	if n := h.heard.read(h.now, healthMemory); n > 0.05 {
-		return h.busy.read(h.now, healthMemory) / n
-	}
-	return -1
-}
-
 // judge finds a host that fails most of its tries, or one into which calls go and out of which nothing comes.
 // One that turns calls away while it reports full work is overloaded, not sick: taking it out would pass its
 // load on to the next. What all hosts lose is no sign against one.
 func (h *host) judge() {
 	ended, lost := h.ended.read(h.now, healthMemory), h.lost.read(h.now, healthMemory)
 	bad := ended > 1.5 && lost > ended*(1+h.around.loss)/2
-	if bad && h.busyShare() > strain-0.1 && ended-lost > 0.5 {
-		bad = false
-	}
+	bad = bad && !(h.full.read(h.now, healthMemory) > 0 && ended-lost > 0.5)
 	quiet := h.now - max(h.lastLine, h.dueSince)
 	silent := h.lastLine > 0 && h.due > 0 && quiet > 2*h.gap+1000 && float64(quiet)/1000*h.due > 6
-	if !bad && !silent {
-		h.badSince = 0
-	} else if h.badSince == 0 {
-		h.badSince = h.now
-	}
+	since(&h.badSince, bad || silent, h.now)
 	switch h.state {
-	case serving:
-		if silent && quiet > failFor || bad && h.now-h.badSince >= failFor {
-			h.enter(removed)
-		}
 	case removed:
 		if h.now >= h.outUntil {
 			h.enter(onTrial)
 		}
+	case serving:
+		if silent && quiet > failFor || bad && h.now-h.badSince >= failFor {
+			h.enter(removed)
+		}
 	case onTrial:
 		if bad || silent && quiet > failFor {
 			h.enter(removed)
@@ -295,13 +277,13 @@
 
 func (h *host) tell() {
 	ended := h.ended.read(h.now, healthMemory)
-	s := standing{id: h.id, fresh: h.now < h.freshUntil, prior: 1, busy: h.busyShare(),
-		flow: min(h.flow, 2*ended), loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1), zone: h.entry.Zone, cell: h.entry.Cell, from: h}
+	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
+		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1,
+		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1)}
 	up := h.known && h.entry.State == Up
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
-	s.freshLeft = max(0, h.freshUntil-h.now)
 	s.usable, s.trial = up && h.state == serving, up && h.state == onTrial
 	if h.rules.listed && h.entry.Weight > 0 {
 		s.prior = h.entry.Weight
@@ -360,9 +342,6 @@
 // adopt starts from the store's lines: what stands is warm. Far lighter lines than the heaviest are standbys.
 func (p *placer) adopt(t TableID, held lines) {
 	pc := &piece{num: t, since: p.now, told: held}
-	if old := p.own.get(t); old != nil {
-		pc.heat, pc.heard, pc.since = old.heat, old.heard, old.since
-	}
 	for _, l := range held {
 		if l.weight <= held.whole()*trialPart {
 			pc.spare = l.host
@@ -464,15 +443,11 @@
 	if p.past++; p.firstHeat == 0 || before <= maximum {
 		p.past = 0
 	} else if p.past >= 2 {
-		old := map[TableID]lines{}
-		for t, pc := range p.own.all() {
-			old[t] = slices.Clone(pc.parts)
-		}
 		p.run(false)
 		if p.past = 0; p.imbalance() > before*worthMoving {
 			p.past = 1
-			for t, pc := range p.own.all() {
-				pc.parts = old[t]
+			for _, pc := range p.own.all() {
+				pc.parts = pc.was
 			}
 			p.weigh()
 		}
@@ -508,7 +483,7 @@
 			pc.free -= l.weight
 			stay = append(stay, l)
 		}
-		if pc.parts = stay; pc.free < 0.001 {
+		if pc.was, pc.parts = pc.parts, stay; pc.free < 0.001 {
 			pc.free = 0
 		}
 	}
@@ -643,8 +618,7 @@
 	}
 }
 
-// common lays the one small table that all proxies get first at sites without slices, and one a zone for
-// routes that must stay in theirs.
+// common lays the one small table that all get first at sites without slices, and one a zone for own routes.
 func (p *placer) common(urgent bool) {
 	var tables shelf[TableID, lines]
 	for id, s := range p.seats.all() {
@@ -720,17 +694,16 @@
 	case standing:
 		g.seats.put(n.id, n)
 	case Heat:
-		for len(g.asked) <= max(int(n.Route), len(g.rules.ways)-1) {
-			g.asked = append(g.asked, sum{})
+		if int(n.Route) < len(g.asked) {
+			g.asked[n.Route].add(g.now, demandMemory, float64(n.Calls))
 		}
-		g.asked[n.Route].add(g.now, demandMemory, float64(n.Calls))
 	case Joined:
 		g.joined++
 	case Left:
 		g.joined--
 	case Due:
 		if g.now >= g.next {
-			g.next = g.now + checkEvery/2
+			g.next = g.now + checkEvery
 			g.weigh()
 		}
 	}
@@ -753,12 +726,10 @@
 	for _, s := range g.seats.all() {
 		g.post(s.from, around)
 	}
-	top := float64(len(g.rules.cheap))
-	calls, all := make([]float64, len(g.rules.ways)), 0.0
-	for r := range min(len(g.asked), len(calls)) {
-		calls[r] = g.asked[r].read(g.now, demandMemory) * 1000 * math.Ln2 / float64(demandMemory)
-		if g.level == top {
-			g.usual[r] = calls[r] // a throttled route's calls come again and again and tell nothing of it
+	top, all := float64(len(g.rules.cheap)), 0.0
+	for r := range g.usual {
+		if g.level == top { // a throttled route's calls come again and again and tell nothing of it
+			g.usual[r] = g.asked[r].read(g.now, demandMemory) * 1000 * math.Ln2 / float64(demandMemory)
 		}
 		all += g.usual[r]
 	}
@@ -783,7 +754,7 @@
 		g.level = max(levelLow, min(want, g.level+levelEase))
 	}
 	g.past = append(g.past, sum{g.level, g.now})
-	now := levelled{make([]float64, len(calls)), make([]int, len(calls))}
+	now := levelled{make([]float64, len(g.usual)), make([]int, len(g.usual))}
 	for i, r := range g.rules.cheap {
 		part := max(levelLow, min(1, g.level-(top-1-float64(i))))
 		now.level[r], now.tries[r] = math.Round(part*20)/20, g.rules.ways[r]
@@ -792,7 +763,7 @@
 		}
 		if g.rules.levels == LevelRate {
 			if now.level[r] = 1e6; part < 1 && g.joined > 0 {
-				now.level[r] = math.Ceil(part * calls[r] / g.joined)
+				now.level[r] = math.Ceil(part * g.usual[r] / g.joined)
 			}
 		}
 	}
@@ -805,7 +776,6 @@
 func (p *publisher) take(n any) {
 	switch n := n.(type) {
 	case kept:
-		p.forget(n.table)
 		p.stands.put(n.table, n.lines)
 		if p.rules.oneOwner {
 			p.shut.put(n.table, 0) // whoever had the slice may have moved it in its last moments
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -23,7 +23,7 @@
 		usable, trial, fresh bool
 		prior                float64 // listed weight
 		weighed              float64 // calls a second for each unit of pressure; 0: not known
-		busy, loss           float64 // busy share, -1: not known; share of tries lost
+		loss                 float64 // share of tries lost
 		flow, able           float64 // tries a second; what it could answer of them
 		zone                 ZoneID
 		cell                 CellID
@@ -70,21 +70,22 @@
 type host struct {
 	inbox
 	*loop
-	id                       HostID
-	place                    *placer
-	gate                     *gate
-	entry                    Entry
-	known                    bool
-	ended, lost, good, used  sum
-	flow                     float64 // tries a second
-	rate, press, busy, heard sum
-	lastLine, gap            Millis  // when last heard of, and how long that takes as a rule
-	due                      float64 // calls a second laid on it
-	dueSince, badSince       Millis
-	outUntil, outFor         Millis
-	freshUntil               Millis
-	around                   fleet
-	state                    hostState
+	id                      HostID
+	place                   *placer
+	gate                    *gate
+	entry                   Entry
+	known                   bool
+	ended, lost, good, used sum
+	flow                    float64 // tries a second
+	rate, press             sum
+	full                    sum     // how far the busy share was above full, lately
+	lastLine, gap           Millis  // when last heard of, and how long that takes as a rule
+	due                     float64 // calls a second laid on it
+	dueSince, badSince      Millis
+	outUntil, outFor        Millis
+	freshUntil              Millis
+	around                  fleet
+	state                   hostState
 }
 
 type hostState int
@@ -105,6 +106,7 @@
 type piece struct {
 	num    TableID
 	parts  lines   // weight is the part of the slice; all add up to 1
+	was    lines   // the parts before the run at hand
 	free   float64 // the part that the run at hand is to place
 	spare  HostID
 	heat   sum
