--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,7 +2,7 @@
 //
 // A program calls New(seed, facts) at each start and Handle(now, notes) whenever something happened; orders
 // take effect as they come. The same notes give the same orders: no clock, no I/O, nothing global. The
-// interface is in api.go, what parts hold in parts.go, their inboxes in loop.go, the reasons in docs/design.md.
+// interface is in api.go, what parts hold in parts.go, inboxes in loop.go, the reasons in docs/design.md.
 //
 // Parts: Director (custody, timers, list), a host actor for each host (health, capacity), placer (the block
 // tree and the paper's run), gate (levels, further tries), publisher (what stands, what is wanted, budget).
@@ -49,10 +49,10 @@
 )
 
 func derive(f Facts) bounds {
-	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList,
-		advice: f.GoneIsAdvice, listed: f.Weighted, queue: f.QueueLimit,
-		head: f.HeadLines, messages: f.MessageLimit, span: f.MessageSpan, levels: f.Levels,
-		reportEvery: max(1, f.ReportEvery), lag: f.ReportEvery/2 + f.Transit + reportLate, settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
+	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, advice: f.GoneIsAdvice,
+		listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines, messages: f.MessageLimit, span: f.MessageSpan,
+		levels: f.Levels, reportEvery: max(1, f.ReportEvery), lag: f.ReportEvery/2 + f.Transit + reportLate,
+		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
 	b.freshRoom = min(freshRoom, max(0.05, f.ColdFrom*f.TipMultiple/3))
 	b.hurry = max(0, min(gather, (f.DrainGrace-f.WorstTransit)/4))
@@ -76,8 +76,9 @@
 	d.seed, d.rules = seed, derive(f)
 	d.publish = &publisher{loop: &d.loop}
 	d.place = &placer{loop: &d.loop, to: d.publish}
-	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(len(f.Routes)),
-		asked: make([]sum, len(f.Routes)), usual: make([]float64, len(f.Routes)), past: []sum{{float64(len(f.Routes)), 0}}}
+	n := len(f.Routes)
+	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(n), asked: make([]sum, n),
+		usual: make([]float64, n), past: []sum{{float64(n), 0}}}
 	return d
 }
 
@@ -124,6 +125,7 @@
 		}
 	case Met:
 		if h := d.hosts.get(n.Host); h != nil {
+			d.reported = d.now
 			d.post(h, n)
 		}
 	case Asked:
@@ -138,7 +140,7 @@
 	case Due:
 		d.order(After{beat, 0})
 		for _, h := range d.hosts.all() {
-			d.post(h, n)
+			d.post(h, pulse{d.reported})
 		}
 		d.post(d.gate, n)
 		d.post(d.place, n)
@@ -181,8 +183,8 @@
 		h.due = n.rate
 	case fleet:
 		h.around = n
-	case Due:
-		h.judge()
+	case pulse:
+		h.judge(n.reported)
 	case settleNow:
 		h.tell()
 	}
@@ -218,12 +220,12 @@
 		rate = *m.Load.Rate
 	}
 	press := float64(m.Spent) * rate / 1000
-	switch {
-	case m.Load.Busy != nil:
+	if m.Load.InHand != nil {
+		press = *m.Load.InHand
+	}
+	if m.Load.Busy != nil {
 		press = *m.Load.Busy
 		h.full.add(h.now, healthMemory, press-full)
-	case m.Load.InHand != nil:
-		press = *m.Load.InHand
 	}
 	h.rate.add(h.now, loadMemory, rate)
 	h.press.add(h.now, loadMemory, press)
@@ -239,12 +241,12 @@
 
 // judge finds a host that fails most of its tries, or one into which calls go and out of which nothing comes.
 // One that turns calls away while it reports full work is overloaded, not sick: taking it out would pass its
-// load on to the next. What all hosts lose is no sign against one.
-func (h *host) judge() {
+// load on to the next. What all lose is no sign against one, and silence is one only while others are heard.
+func (h *host) judge(reported Millis) {
 	ended, lost := h.ended.read(h.now, healthMemory), h.lost.read(h.now, healthMemory)
 	bad := ended > 1.5 && lost > ended*(1+h.around.loss)/2
 	bad = bad && !(h.full.read(h.now, healthMemory) > 0 && ended-lost > 0.5)
-	quiet := h.now - max(h.lastLine, h.dueSince)
+	quiet := reported - max(h.lastLine, h.dueSince)
 	silent := h.lastLine > 0 && h.due > 0 && quiet > 2*h.gap+1000 && float64(quiet)/1000*h.due > 6
 	since(&h.badSince, bad || silent, h.now)
 	switch h.state {
@@ -284,7 +286,7 @@
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
-	s.usable, s.trial = up && h.state == serving, up && h.state == onTrial
+	s.usable, s.ill, s.trial = up && h.state == serving, up && h.state != serving, up && h.state == onTrial
 	if h.rules.listed && h.entry.Weight > 0 {
 		s.prior = h.entry.Weight
 	}
@@ -306,7 +308,7 @@
 			s = &seat{}
 			p.seats.put(n.id, s)
 		}
-		p.dirty = p.dirty || s.usable != n.usable || s.trial != n.trial || !s.fresh && n.fresh
+		p.dirty = p.dirty || s.trial != n.trial || !s.fresh && n.fresh
 		s.standing = n
 	case fleet:
 		p.around = n
@@ -330,6 +332,16 @@
 			p.check()
 		}
 	case settleNow:
+		up, ill := 0, 0
+		for _, s := range p.seats.all() {
+			up += int(bit(s.usable || s.ill, 0))
+			ill += int(bit(s.ill, 0))
+		}
+		for _, s := range p.seats.all() {
+			// Where most look ill at once, the view or the load is: none is left out for it.
+			in := s.usable || s.ill && ill*2 > up
+			p.dirty, s.in = p.dirty || s.in != in, in
+		}
 		if p.dirty {
 			p.weigh()
 			p.run(true)
@@ -349,10 +361,7 @@
 			pc.parts = append(pc.parts, l)
 		}
 	}
-	whole := pc.parts.whole()
-	for i := range pc.parts {
-		pc.parts[i].weight /= whole
-	}
+	pc.parts = pc.parts.scaled()
 	p.own.put(t, pc)
 	p.dirty = true
 }
@@ -361,9 +370,7 @@
 	if pc := p.own.get(n.Slice); pc != nil {
 		pc.heat.add(p.now, demandMemory, float64(n.Calls))
 		pc.heard = true
-		if p.firstHeat == 0 {
-			p.firstHeat = p.now
-		}
+		since(&p.firstHeat, true, p.now)
 	}
 }
 
@@ -375,37 +382,33 @@
 		// Reports of a slice just given are still to come: until then it counts as the others do.
 		from := max(pc.since, p.firstHeat-p.rules.reportEvery)
 		if pc.heard || p.firstHeat > 0 && p.now-from > demandMemory/2 {
-			full := float64(demandMemory) / math.Ln2
-			seen := full * (1 - math.Exp(-max(float64(p.now-from), 500)/full))
-			pc.weight = 1000 * pc.heat.read(p.now, demandMemory) / seen
+			pc.weight = pc.heat.rate(p.now, demandMemory, from)
 			heard, n = heard+pc.weight, n+1
 		}
 	}
 	for _, pc := range p.own.all() {
 		if pc.weight < 0 {
-			if pc.weight = 1; n > 0 {
-				pc.weight = heard / n
-			}
+			pc.weight = (heard + 1e-9) / (n + 1e-9)
 		}
 		total += pc.weight
 	}
 	// What hosts show is set against what they were listed for, so that the unit of pressure drops out.
 	var ratios []float64
 	for _, s := range p.seats.all() {
-		if s.weighed > 0 && s.usable {
+		if s.weighed > 0 && s.in {
 			ratios = append(ratios, s.weighed/s.prior)
 		}
 	}
 	slices.Sort(ratios)
 	for _, s := range p.seats.all() {
 		s.load, s.share = 0, 0
-		if s.usable {
+		if s.in {
 			s.share = s.prior
 			if s.weighed > 0 && len(ratios) > 2 {
 				s.share *= min(2.5, max(0.1, s.weighed/s.prior/ratios[len(ratios)/2]))
 			}
 			if s.fresh {
-				// Its room grows as it warms. A part of an overload would be more than it can bear.
+				// Its room grows as it warms. With cold keys, a part of a full load would be more than it can bear.
 				grown := p.rules.freshRoom + (1-p.rules.freshRoom)*max(0, 1-float64(s.freshLeft/freshFor))
 				s.share *= grown / max(1, p.around.pressure*p.around.pressure)
 			}
@@ -428,7 +431,7 @@
 func (p *placer) imbalance() float64 {
 	worst := 0.0
 	for _, s := range p.seats.all() {
-		if s.usable {
+		if s.in {
 			worst = max(worst, s.load/max(s.share, 1e-9))
 		}
 	}
@@ -476,7 +479,7 @@
 		pc.free = 1
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
-			if s == nil || !s.usable || (!onlyMust || s.fresh) && s.load+load > s.share*maximum {
+			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.share*maximum {
 				continue
 			}
 			s.load += load
@@ -511,7 +514,7 @@
 func (p *placer) roomiest(but *seat) *seat {
 	var best *seat
 	for _, s := range p.seats.all() {
-		if s.usable && s != but && (best == nil || s.share-s.load > best.share-best.load) {
+		if s.in && s != but && (best == nil || s.share-s.load > best.share-best.load) {
 			best = s
 		}
 	}
@@ -604,7 +607,7 @@
 		if len(table) > 0 && !slices.Equal(table, pc.told) {
 			must := len(pc.told) == 0 || urgent && slices.ContainsFunc(pc.told, func(l line) bool {
 				s := p.seats.get(l.host)
-				return s == nil || !s.usable || s.fresh
+				return s == nil || !s.in || s.fresh
 			})
 			pc.told = table
 			p.post(p.to, wanted{t, table, must})
@@ -627,10 +630,10 @@
 			part *= freshRoom
 		}
 		zone := zoneTables + TableID(s.zone)
-		if had := tables.get(commonTable); s.usable && len(had) < commonSize {
+		if had := tables.get(commonTable); s.in && len(had) < commonSize {
 			tables.put(commonTable, append(had, line{id, part}))
 		}
-		if s.usable && p.rules.ownZone != 0 {
+		if s.in && p.rules.ownZone != 0 {
 			tables.put(zone, append(tables.get(zone), line{id, part}))
 		}
 	}
@@ -647,7 +650,7 @@
 	if p.rules.oneOwner || len(out) == 0 {
 		return out
 	}
-	if s := p.seats.get(pc.spare); s == nil || !s.usable || s.fresh || out.holds(pc.spare) {
+	if s := p.seats.get(pc.spare); s == nil || !s.in || s.fresh || out.holds(pc.spare) {
 		pc.spare = p.spareFor(pc)
 	}
 	if len(out) == 1 && trial != 0 {
@@ -662,7 +665,7 @@
 			in[p.seats.get(l.host).zone] = true
 		}
 		for id, s := range p.seats.all() {
-			if s.usable && !s.fresh && !in[s.zone] {
+			if s.in && !s.fresh && !in[s.zone] {
 				in[s.zone] = true
 				out = append(out, line{id, standbyPart})
 			}
@@ -675,14 +678,11 @@
 func (p *placer) spareFor(pc *piece) (best HostID) {
 	main, most := p.seats.get(pc.parts[0].host), 0.0
 	for id, s := range p.seats.all() {
-		if !s.usable || s.fresh || pc.parts.holds(id) {
-			continue
-		}
 		score := s.share * (0.01 + p.chance())
 		if s.cell != main.cell {
 			score *= 100
 		}
-		if score > most {
+		if s.in && !s.fresh && !pc.parts.holds(id) && score > most {
 			best, most = id, score
 		}
 	}
@@ -709,7 +709,7 @@
 	}
 }
 
-// weigh compares the tries that reach the hosts with what these can do, and lets in the part that fits. Figures
+// weigh compares the tries that reach the hosts with what they can do and lets in the part that fits. Figures
 // are late: what they show is set against the level of that time, or each jam would be answered twice.
 func (g *gate) weigh() {
 	able, tried, lost := 0.0, 0.0, 0.0
@@ -729,7 +729,7 @@
 	top, all := float64(len(g.rules.cheap)), 0.0
 	for r := range g.usual {
 		if g.level == top { // a throttled route's calls come again and again and tell nothing of it
-			g.usual[r] = g.asked[r].read(g.now, demandMemory) * 1000 * math.Ln2 / float64(demandMemory)
+			g.usual[r] = g.asked[r].rate(g.now, demandMemory, 0)
 		}
 		all += g.usual[r]
 	}
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -160,3 +160,18 @@
 	}
 	return 0
 }
+
+// rate is the sum a second, corrected for what it has not yet had the time to gather since from.
+func (s *sum) rate(now, half, from Millis) float64 {
+	full := float64(half) / math.Ln2
+	return 1000 * s.read(now, half) / (full * (1 - math.Exp(-max(float64(now-from), 500)/full)))
+}
+
+// scaled has the weights of a whole, one.
+func (ls lines) scaled() lines {
+	out, whole := slices.Clone(ls), ls.whole()
+	for i := range out {
+		out[i].weight /= whole
+	}
+	return out
+}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -17,10 +17,12 @@
 
 // Notes between the parts.
 type (
-	settleNow struct{} // all of the batch is heard: act on it
-	standing  struct { // a host's word on itself, to placer and gate
+	pulse     struct{ reported Millis } // a beat, and when a report last came
+	settleNow struct{}                  // all of the batch is heard: act on it
+	standing  struct {                  // a host's word on itself, to placer and gate
 		id                   HostID
 		usable, trial, fresh bool
+		ill                  bool    // up, but judged unfit
 		prior                float64 // listed weight
 		weighed              float64 // calls a second for each unit of pressure; 0: not known
 		loss                 float64 // share of tries lost
@@ -64,6 +66,7 @@
 	ticking  bool
 	askAgain Millis
 	follows  bool
+	reported Millis
 }
 
 // host judges one host from what little is heard of it.
@@ -100,6 +103,7 @@
 type seat struct {
 	standing
 	load, share float64
+	in          bool // counted in the run at hand
 }
 
 // piece is one slice (or, at sites without slices, one proxy's calls) in the placer's hands.
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -53,8 +53,9 @@
 }
 
 func (s *stage) setFacts(words []string) {
-	s.facts = Facts{Directors: 1, Slices: 8, QueueLimit: 5000, HeadLines: 10, LinesPerSecond: 5000, ColdFrom: 0.2,
-		TipMultiple: 3, WarmAfter: 15000, FallAfter: 2000, DrainGrace: 2000, Transit: 200, WorstTransit: 500,
+	s.facts = Facts{Directors: 1, Slices: 8, QueueLimit: 5000, HeadLines: 10, LinesPerSecond: 5000,
+		ColdFrom: 0.2, TipMultiple: 3,
+		WarmAfter: 15000, FallAfter: 2000, DrainGrace: 2000, Transit: 200, WorstTransit: 500,
 		MessageSpan: 10000, ReportEvery: 500, Levels: LevelShare, WriteLease: 2500, WriteSettle: 4000,
 		Routes: []Route{{SLO: 1000, Importance: 1, Repeat: Repeatable},
 			{SLO: 1000, Importance: 3, Repeat: Mutating, Writes: true}}}
@@ -148,7 +149,8 @@
 		id, what, _ := strings.Cut(rest[0], ":")
 		if s.feeds["met"+id] = nil; what != "none" {
 			f := strings.Split(what, "/")
-			m := Met{Host: HostID(number(id)), Over: s.every, Spent: 200, Ended: int(number(f[0])), Lost: int(number(f[1]))}
+			m := Met{Host: HostID(number(id)), Over: s.every, Spent: 200}
+			m.Ended, m.Lost = int(number(f[0])), int(number(f[1]))
 			if len(f) > 2 {
 				busy := number(f[2])
 				m.Load.Busy = &busy
