--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,6 +17,7 @@
 const (
 	maximum     = 1.1          // imbalance tolerated, from the paper
 	chunk       = 1.0 / 40     // of the load: below it a leaf need only not overload
+	headroom    = 0.8          // of what a host can do: while its fullest has so much, the fleet bears imbalance
 	checkEvery  = Millis(1000) // two checks past the maximum call for a rerun
 	worthMoving = 0.9          // a rerun is installed when it leaves at most this of the imbalance
 	gather      = Millis(500)  // ordinary changes wait this long for company
@@ -26,13 +27,14 @@
 	beat        = Millis(100)
 	reportLate  = Millis(2000) // how old the mean try of a report is when read, beside the report's own period
 
-	demandMemory = Millis(6000)
+	demandMemory = Millis(4000)
 	healthMemory = Millis(1500)
 	loadMemory   = Millis(4000)
 
 	trialAfter  = Millis(5000) // first wait before a removed host is tried again, since few are; doubles
-	standbyPart = 0.02         // weight of a standby line beside a whole slice
-	trialPart   = 0.06         // the same where the standby is a host on trial
+	standbyPart = 0.06         // weight of a standby line beside a whole slice
+	pairPart    = 0.4          // the same where proxies pick the less busy of two: they use it as they need it
+	trialPart   = 0.1          // the same where the standby is a host on trial
 	trialSlices = 8
 	commonSize  = 8 // hosts in the first table of a site without slices
 
@@ -55,6 +57,9 @@
 		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
 	b.freshRoom = min(freshRoom, max(0.05, f.ColdFrom*f.TipMultiple/3))
+	if b.standby = standbyPart; f.Pick == PickPair {
+		b.standby = pairPart
+	}
 	b.hurry = max(0, min(gather, (f.DrainGrace-f.WorstTransit)/4))
 	for i, r := range f.Routes {
 		// One that may take effect twice is tried again only after proof that it never ran.
@@ -351,11 +356,11 @@
 	}
 }
 
-// adopt starts from the store's lines: what stands is warm. Far lighter lines than the heaviest are standbys.
+// adopt starts from the store's lines: what stands is warm. What is there beside a whole slice is a standby.
 func (p *placer) adopt(t TableID, held lines) {
 	pc := &piece{num: t, since: p.now, told: held}
 	for _, l := range held {
-		if l.weight <= held.whole()*trialPart {
+		if l.weight < 0.999 && held.whole() > 1.001 {
 			pc.spare = l.host
 		} else {
 			pc.parts = append(pc.parts, l)
@@ -377,6 +382,14 @@
 // weigh brings up to date the demand of each slice and the share of it that each host is supposed to have.
 func (p *placer) weigh() {
 	heard, n, total, shares := 0.0, 0.0, 0.0, 0.0
+	// What hosts show is set against what they were listed for, so that the unit of pressure drops out.
+	var ratios []float64
+	for _, s := range p.seats.all() {
+		if s.aside = 0; s.weighed > 0 && s.in {
+			ratios = append(ratios, s.weighed/s.prior)
+		}
+	}
+	slices.Sort(ratios)
 	for _, pc := range p.own.all() {
 		pc.weight = -1
 		// Reports of a slice just given are still to come: until then it counts as the others do.
@@ -391,17 +404,13 @@
 			pc.weight = (heard + 1e-9) / (n + 1e-9)
 		}
 		total += pc.weight
-	}
-	// What hosts show is set against what they were listed for, so that the unit of pressure drops out.
-	var ratios []float64
-	for _, s := range p.seats.all() {
-		if s.weighed > 0 && s.in {
-			ratios = append(ratios, s.weighed/s.prior)
+		if s := p.seats.get(pc.spare); s != nil {
+			s.aside += pc.weight * p.rules.standby
+			total += pc.weight * p.rules.standby
 		}
 	}
-	slices.Sort(ratios)
 	for _, s := range p.seats.all() {
-		s.load, s.share = 0, 0
+		s.load, s.share = s.aside, 0
 		if s.in {
 			s.share = s.prior
 			if s.weighed > 0 && len(ratios) > 2 {
@@ -427,6 +436,15 @@
 	}
 }
 
+// most is the imbalance tolerated: beyond the maximum while even the fullest host has room, since a move then
+// only costs warm keys.
+func (p *placer) most() float64 {
+	if p.around.pressure == 0 {
+		return maximum // nothing is known yet
+	}
+	return max(maximum, min(2, headroom/p.around.pressure))
+}
+
 // imbalance is the paper's: the most over-worked host's load over the load it was supposed to have.
 func (p *placer) imbalance() float64 {
 	worst := 0.0
@@ -443,7 +461,7 @@
 func (p *placer) check() {
 	p.weigh()
 	before := p.imbalance()
-	if p.past++; p.firstHeat == 0 || before <= maximum {
+	if p.past++; p.firstHeat == 0 || before <= p.most() {
 		p.past = 0
 	} else if p.past >= 2 {
 		p.run(false)
@@ -472,14 +490,14 @@
 // onlyMust, a host that is merely too full keeps what it has, a cold one keeps what it has room for.
 func (p *placer) loosen(onlyMust bool) {
 	for _, s := range p.seats.all() {
-		s.load = 0
+		s.load = s.aside
 	}
 	for _, pc := range p.byWeight() {
 		var stay lines
 		pc.free = 1
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
-			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.share*maximum {
+			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.share*p.most() {
 				continue
 			}
 			s.load += load
@@ -538,7 +556,7 @@
 	for _, l := range leaves {
 		home.load += l.load
 	}
-	for s := p.roomiest(home); home.load > home.share*maximum && len(leaves) > 0; s = p.roomiest(home) {
+	for s := p.roomiest(home); home.load > home.share*p.most() && len(leaves) > 0; s = p.roomiest(home) {
 		if s == nil || s.share <= s.load {
 			break
 		}
@@ -547,7 +565,7 @@
 		leaves = leaves[1:]
 		room := s.share - s.load
 		if l.load < total*chunk {
-			room = s.share*maximum - s.load
+			room = s.share*p.most() - s.load
 		}
 		if l.load > room {
 			if halves := p.split(l, s.share); halves != nil {
@@ -570,7 +588,7 @@
 	if half := l.span / 2; half > 0 {
 		return append(p.blocks(l.first, half), p.blocks(l.first+half, half)...)
 	}
-	if half := (leaf{l.first, 1, l.part / 2, l.load / 2}); !p.rules.oneOwner && l.load > share && l.part > 0.2 {
+	if half := (leaf{l.first, 1, l.part / 2, l.load / 2}); !p.rules.oneOwner && l.load > share/2 && l.part > 0.2 {
 		return []leaf{half, half}
 	}
 	return nil
@@ -586,18 +604,17 @@
 
 // lay tells the publisher what each table is to hold, and each host what has been laid on it.
 func (p *placer) lay(urgent bool) {
-	load, onTrial := map[HostID]float64{}, map[TableID]HostID{}
-	nth := 0
+	load, nth, every := map[HostID]float64{}, 0, max(1, p.own.len()/trialSlices)
 	for id, s := range p.seats.all() {
-		if order := p.byWeight(); s.trial && len(order) > 0 {
-			for i := range trialSlices {
-				onTrial[order[(nth*trialSlices+i)%len(order)].num] = id
+		for i, t := range p.own.keys {
+			if s.trial && i%every == nth%every {
+				p.own.get(t).spare = id
 			}
-			nth++
 		}
+		nth += int(bit(s.trial, 0))
 	}
 	for t, pc := range p.own.all() {
-		table := p.table(pc, onTrial[t])
+		table := p.table(pc)
 		for _, l := range table {
 			load[l.host] += l.weight / table.whole() * pc.weight
 		}
@@ -645,18 +662,21 @@
 // table is the parts of a slice and, beside a whole one, a light standby line: a proxy that avoids a host or
 // may try again has somewhere to go before anything is known here. It guards against any sudden loss of a
 // host; it costs cold keys for its weight. A host on trial gets its few calls in the same place.
-func (p *placer) table(pc *piece, trial HostID) lines {
+func (p *placer) table(pc *piece) lines {
 	out := slices.Clone(pc.parts)
 	if p.rules.oneOwner || len(out) == 0 {
 		return out
 	}
-	if s := p.seats.get(pc.spare); s == nil || !s.in || s.fresh || out.holds(pc.spare) {
-		pc.spare = p.spareFor(pc)
+	s, part := p.seats.get(pc.spare), p.rules.standby
+	if s != nil && s.trial {
+		part = min(part, trialPart)
+	} else if s == nil || !s.in || s.fresh || out.holds(pc.spare) {
+		if pc.spare = p.spareFor(pc); pc.spare != 0 {
+			p.seats.get(pc.spare).load += pc.weight * part
+		}
 	}
-	if len(out) == 1 && trial != 0 {
-		out = append(out, line{trial, trialPart})
-	} else if len(out) == 1 && pc.spare != 0 {
-		out = append(out, line{pc.spare, standbyPart})
+	if len(out) == 1 && pc.spare != 0 {
+		out = append(out, line{pc.spare, part})
 	}
 	if p.rules.ownZone != 0 && p.rules.sliced {
 		// A route that must stay in its zone needs a line there, or its proxies are bare.
@@ -667,7 +687,7 @@
 		for id, s := range p.seats.all() {
 			if s.in && !s.fresh && !in[s.zone] {
 				in[s.zone] = true
-				out = append(out, line{id, standbyPart})
+				out = append(out, line{id, p.rules.standby})
 			}
 		}
 	}
@@ -678,11 +698,11 @@
 func (p *placer) spareFor(pc *piece) (best HostID) {
 	main, most := p.seats.get(pc.parts[0].host), 0.0
 	for id, s := range p.seats.all() {
-		score := s.share * (0.01 + p.chance())
+		score := (s.share - s.load) / s.share * (1 + p.chance()/4)
 		if s.cell != main.cell {
-			score *= 100
+			score += 100
 		}
-		if s.in && !s.fresh && !pc.parts.holds(id) && score > most {
+		if s.in && !s.fresh && !pc.parts.holds(id) && (best == 0 || score > most) {
 			best, most = id, score
 		}
 	}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -7,6 +7,7 @@
 	listed                                bool    // listed weights mean something
 	freshRoom                             float64 // of its share, for a host just started
 	queue, head                           float64 // lines in the channel; lines a message
+	standby                               float64 // weight of a standby line
 	messages                              int     // most messages to a proxy within span; 0: any
 	span, hurry, settle, reportEvery, lag Millis
 	levels                                Valve
@@ -103,7 +104,8 @@
 type seat struct {
 	standing
 	load, share float64
-	in          bool // counted in the run at hand
+	aside       float64 // the part of load that its standby lines bring
+	in          bool    // counted in the run at hand
 }
 
 // piece is one slice (or, at sites without slices, one proxy's calls) in the placer's hands.
