--- a/logic/logic.go
+++ b/logic/logic.go
@@ -75,19 +75,17 @@
 	return b
 }
 
-// New starts an instance that knows nothing but its facts.
 func New(seed uint64, f Facts) *Director {
 	d := &Director{}
 	d.seed, d.rules = seed, derive(f)
 	d.publish = &publisher{loop: &d.loop}
-	d.place = &placer{loop: &d.loop, to: d.publish}
+	d.place = &placer{loop: &d.loop, to: d.publish, mean: 1}
 	n := len(f.Routes)
 	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(n), asked: make([]sum, n),
 		usual: make([]float64, n), past: []sum{{float64(n), 0}}}
 	return d
 }
 
-// Handle takes what happened at now and returns what to order.
 func (d *Director) Handle(now Millis, notes []any) []Order {
 	d.now, d.out = now, nil
 	if !d.ticking {
@@ -170,9 +168,8 @@
 		d.post(d.hosts.get(e.Host), e)
 	}
 	for id, h := range d.hosts.all() {
-		if e := h.entry; r.Kind != Changes && !named[id] {
-			e.Host, e.State = id, Gone
-			d.post(h, e)
+		if r.Kind != Changes && !named[id] {
+			d.post(h, Entry{Host: id, State: Gone})
 		}
 	}
 }
@@ -358,7 +355,7 @@
 
 // adopt starts from the store's lines: what stands is warm. What is there beside a whole slice is a standby.
 func (p *placer) adopt(t TableID, held lines) {
-	pc := &piece{num: t, since: p.now, told: held}
+	pc := &piece{num: t, since: p.now, told: held, weight: p.mean}
 	for _, l := range held {
 		if l.weight < 0.999 && held.whole() > 1.001 {
 			pc.spare = l.host
@@ -379,39 +376,38 @@
 	}
 }
 
-// weigh brings up to date the demand of each slice and the share of it that each host is supposed to have.
 func (p *placer) weigh() {
-	heard, n, total, shares := 0.0, 0.0, 0.0, 0.0
+	shares := 0.0
 	// What hosts show is set against what they were listed for, so that the unit of pressure drops out.
 	var ratios []float64
 	for _, s := range p.seats.all() {
-		if s.aside = 0; s.weighed > 0 && s.in {
+		if s.aside, s.load = 0, 0; s.weighed > 0 && s.in {
 			ratios = append(ratios, s.weighed/s.prior)
 		}
 	}
 	slices.Sort(ratios)
+	p.total = 0
 	for _, pc := range p.own.all() {
-		pc.weight = -1
 		// Reports of a slice just given are still to come: until then it counts as the others do.
 		from := max(pc.since, p.firstHeat-p.rules.reportEvery)
 		if pc.heard || p.firstHeat > 0 && p.now-from > demandMemory/2 {
 			pc.weight = pc.heat.rate(p.now, demandMemory, from)
-			heard, n = heard+pc.weight, n+1
 		}
-	}
-	for _, pc := range p.own.all() {
-		if pc.weight < 0 {
-			pc.weight = (heard + 1e-9) / (n + 1e-9)
+		p.total += pc.weight
+		for _, l := range pc.parts {
+			if s := p.seats.get(l.host); s != nil {
+				s.load += l.weight * pc.weight
+			}
 		}
-		total += pc.weight
 		if s := p.seats.get(pc.spare); s != nil {
 			s.aside += pc.weight * p.rules.standby
-			total += pc.weight * p.rules.standby
+			s.load += pc.weight * p.rules.standby
+			p.total += pc.weight * p.rules.standby
 		}
 	}
+	p.mean = p.total / float64(max(1, p.own.len()))
 	for _, s := range p.seats.all() {
-		s.load, s.share = s.aside, 0
-		if s.in {
+		if s.share = 0; s.in {
 			s.share = s.prior
 			if s.weighed > 0 && len(ratios) > 2 {
 				s.share *= min(2.5, max(0.1, s.weighed/s.prior/ratios[len(ratios)/2]))
@@ -425,14 +421,7 @@
 		}
 	}
 	for _, s := range p.seats.all() {
-		s.share *= total / max(shares, 1e-9)
-	}
-	for _, pc := range p.own.all() {
-		for _, l := range pc.parts {
-			if s := p.seats.get(l.host); s != nil {
-				s.load += l.weight * pc.weight
-			}
-		}
+		s.share *= p.total / max(shares, 1e-9)
 	}
 }
 
@@ -476,7 +465,6 @@
 	p.lay(false)
 }
 
-// byWeight lists the pieces, heaviest first.
 func (p *placer) byWeight() []*piece {
 	var order []*piece
 	for _, pc := range p.own.all() {
@@ -542,13 +530,10 @@
 // run is the paper's algorithm over the free blocks.
 func (p *placer) run(onlyMust bool) {
 	p.loosen(onlyMust)
-	span, total := 1, 0.0
+	span := 1
 	for n := p.own.len(); n > 0 && span <= int(p.own.keys[n-1]); {
 		span *= 2
 	}
-	for _, s := range p.seats.all() {
-		total += s.share
-	}
 	leaves, home := p.blocks(0, span), p.roomiest(nil)
 	if home == nil {
 		return
@@ -564,7 +549,7 @@
 		l := leaves[0]
 		leaves = leaves[1:]
 		room := s.share - s.load
-		if l.load < total*chunk {
+		if l.load < p.total*chunk {
 			room = s.share*p.most() - s.load
 		}
 		if l.load > room {
@@ -582,16 +567,16 @@
 	}
 }
 
-// split halves a block; a single slice goes on by weight where a table may hold several lines, but only if
-// no host could take it whole, since each half warms keys of its own.
+// split halves a block. A single slice goes on by weight, if it is heavy: each half warms keys of its own.
 func (p *placer) split(l leaf, share float64) []leaf {
 	if half := l.span / 2; half > 0 {
 		return append(p.blocks(l.first, half), p.blocks(l.first+half, half)...)
 	}
-	if half := (leaf{l.first, 1, l.part / 2, l.load / 2}); !p.rules.oneOwner && l.load > share/2 && l.part > 0.2 {
-		return []leaf{half, half}
+	if p.rules.oneOwner || l.load <= share/2 || l.part < 0.2 {
+		return nil
 	}
-	return nil
+	half := leaf{l.first, 1, l.part / 2, l.load / 2}
+	return []leaf{half, half}
 }
 
 func (p *placer) assign(l leaf, to HostID) {
@@ -604,7 +589,7 @@
 
 // lay tells the publisher what each table is to hold, and each host what has been laid on it.
 func (p *placer) lay(urgent bool) {
-	load, nth, every := map[HostID]float64{}, 0, max(1, p.own.len()/trialSlices)
+	nth, every := 0, max(1, p.own.len()/trialSlices)
 	for id, s := range p.seats.all() {
 		for i, t := range p.own.keys {
 			if s.trial && i%every == nth%every {
@@ -615,23 +600,21 @@
 	}
 	for t, pc := range p.own.all() {
 		table := p.table(pc)
-		for _, l := range table {
-			load[l.host] += l.weight / table.whole() * pc.weight
-		}
 		if !p.rules.sliced && (!pc.heard || p.now-pc.since < checkEvery) {
 			continue // the common table serves until a proxy's demand is known
 		}
 		if len(table) > 0 && !slices.Equal(table, pc.told) {
-			must := len(pc.told) == 0 || urgent && slices.ContainsFunc(pc.told, func(l line) bool {
+			must := len(pc.told) == 0
+			for _, l := range pc.told {
 				s := p.seats.get(l.host)
-				return s == nil || !s.in || s.fresh
-			})
+				must = must || urgent && (s == nil || !s.in || s.fresh)
+			}
 			pc.told = table
 			p.post(p.to, wanted{t, table, must})
 		}
 	}
-	for id, s := range p.seats.all() {
-		p.post(s.from, expected{load[id]})
+	for _, s := range p.seats.all() {
+		p.post(s.from, expected{s.load})
 	}
 	if !p.rules.sliced {
 		p.common(urgent)
@@ -738,9 +721,7 @@
 			able, tried, lost = able+s.able, tried+s.flow, lost+s.loss*s.flow
 		}
 	}
-	if able == 0 {
-		able = tried - lost // no busy shares here: what is answered is all that is known
-	}
+	able = max(able, tried-lost) // without busy shares, what is answered is all that is known
 	around := fleet{tried / max(able, 0.1), lost / max(tried, 0.1)}
 	g.post(g.place, around)
 	for _, s := range g.seats.all() {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -137,6 +137,7 @@
 	own             shelf[TableID, *piece]
 	firstHeat, next Millis
 	past            int
+	total, mean     float64 // demand of all own slices, and of one
 	dirty           bool
 	around          fleet
 }
