--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,10 +25,10 @@
 	freshFor    = Millis(10000)
 	failFor     = Millis(3000) // most tries lost for so long: removed
 	beat        = Millis(100)
-	reportLate  = Millis(2000) // how old the mean try of a report is when read, beside the report's own period
 
 	demandMemory = Millis(4000)
 	healthMemory = Millis(1500)
+	gateMemory   = Millis(2000)
 	loadMemory   = Millis(4000)
 
 	trialAfter  = Millis(5000) // first wait before a removed host is tried again, since few are; doubles
@@ -43,7 +43,8 @@
 
 	full      = 0.8 // busy share from which a host that turns calls away has too much to do, not a fault
 	strain    = 0.9 // tries for each that the fleet can do: the gate steers to it
-	levelEase = 0.1
+	idle      = 0.7 // busy share of the fleet below which nothing is throttled
+	levelEase = 0.1 // a second, in routes
 	levelLow  = 0.05
 
 	commonTable TableID = 0
@@ -53,7 +54,7 @@
 func derive(f Facts) bounds {
 	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, advice: f.GoneIsAdvice,
 		listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines, messages: f.MessageLimit, span: f.MessageSpan,
-		levels: f.Levels, reportEvery: max(1, f.ReportEvery), lag: f.ReportEvery/2 + f.Transit + reportLate,
+		levels: f.Levels, reportEvery: max(1, f.ReportEvery),
 		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
 	b.freshRoom = min(freshRoom, max(0.05, f.ColdFrom*f.TipMultiple/3))
@@ -82,7 +83,7 @@
 	d.place = &placer{loop: &d.loop, to: d.publish, mean: 1}
 	n := len(f.Routes)
 	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(n), asked: make([]sum, n),
-		usual: make([]float64, n), past: []sum{{float64(n), 0}}}
+		usual: make([]float64, n)}
 	return d
 }
 
@@ -204,7 +205,7 @@
 		}
 		if h.known {
 			h.enter(serving)
-			h.outFor, h.rate, h.press, h.full = 0, sum{}, sum{}, sum{}
+			h.outFor, h.rate, h.press, h.busy = 0, sum{}, sum{}, 0
 		}
 	}
 	h.entry, h.known = e, true
@@ -227,7 +228,7 @@
 	}
 	if m.Load.Busy != nil {
 		press = *m.Load.Busy
-		h.full.add(h.now, healthMemory, press-full)
+		h.busy = press
 	}
 	h.rate.add(h.now, loadMemory, rate)
 	h.press.add(h.now, loadMemory, press)
@@ -247,7 +248,7 @@
 func (h *host) judge(reported Millis) {
 	ended, lost := h.ended.read(h.now, healthMemory), h.lost.read(h.now, healthMemory)
 	bad := ended > 1.5 && lost > ended*(1+h.around.loss)/2
-	bad = bad && !(h.full.read(h.now, healthMemory) > 0 && ended-lost > 0.5)
+	bad = bad && !(h.busy > full && ended-lost > 0.5)
 	quiet := reported - max(h.lastLine, h.dueSince)
 	silent := h.lastLine > 0 && h.due > 0 && quiet > 2*h.gap+1000 && float64(quiet)/1000*h.due > 6
 	since(&h.badSince, bad || silent, h.now)
@@ -282,7 +283,7 @@
 func (h *host) tell() {
 	ended := h.ended.read(h.now, healthMemory)
 	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
-		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1,
+		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1, busy: h.busy,
 		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1)}
 	up := h.known && h.entry.State == Up
 	if h.rules.advice && h.known && h.entry.State == Gone {
@@ -698,7 +699,7 @@
 		g.seats.put(n.id, n)
 	case Heat:
 		if int(n.Route) < len(g.asked) {
-			g.asked[n.Route].add(g.now, demandMemory, float64(n.Calls))
+			g.asked[n.Route].add(g.now, gateMemory, float64(n.Calls))
 		}
 	case Joined:
 		g.joined++
@@ -712,13 +713,16 @@
 	}
 }
 
-// weigh compares the tries that reach the hosts with what they can do and lets in the part that fits. Figures
-// are late: what they show is set against the level of that time, or each jam would be answered twice.
+// weigh compares the calls that come with what hosts can do and lets in the part that fits. Tries would not do:
+// they end late, and those of a jam would throttle what comes after it.
 func (g *gate) weigh() {
-	able, tried, lost := 0.0, 0.0, 0.0
+	able, tried, lost, busy, of := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.seats.all() {
 		if s.usable {
 			able, tried, lost = able+s.able, tried+s.flow, lost+s.loss*s.flow
+			if s.busy > 0 {
+				busy, of = busy+s.busy*s.able, of+s.able
+			}
 		}
 	}
 	able = max(able, tried-lost) // without busy shares, what is answered is all that is known
@@ -727,34 +731,29 @@
 	for _, s := range g.seats.all() {
 		g.post(s.from, around)
 	}
-	top, all := float64(len(g.rules.cheap)), 0.0
+	top, usual := float64(len(g.rules.cheap)), 0.0
 	for r := range g.usual {
-		if g.level == top { // a throttled route's calls come again and again and tell nothing of it
-			g.usual[r] = g.asked[r].rate(g.now, demandMemory, 0)
+		if g.level == top {
+			g.usual[r] = g.asked[r].rate(g.now, gateMemory, 0)
 		}
-		all += g.usual[r]
-	}
-	for len(g.past) > 1 && g.past[1].at <= g.now-g.rules.lag {
-		g.past = g.past[1:]
+		usual += g.usual[r]
 	}
-	if g.rules.levels != NoLevels && tried > 0 && all > 0 {
-		part := func(level float64) (sum float64) {
-			for i, r := range g.rules.cheap {
-				sum += min(1, max(0, level-(top-1-float64(i)))) * g.usual[r] / all
-			}
-			return sum
+	if g.rules.levels != NoLevels && able > 0 && usual > 0 {
+		// A throttled route's calls come again and tell nothing of how many there are; the most important's do.
+		all, lead := usual, g.rules.cheap[len(g.usual)-1]
+		if g.usual[lead] > 0 {
+			all *= g.asked[lead].rate(g.now, gateMemory, 0) / g.usual[lead]
 		}
-		fits := max(levelLow, part(g.past[0].v)) * strain / max(around.pressure, 0.01)
-		want := top
-		for want > levelLow && part(want) > fits {
-			want -= levelLow
+		want, excess := top, usual*(1-strain*able/max(all, 0.1))
+		if of > 0 && busy < of*idle {
+			excess = 0 // hosts with room to spare belie the reckoning
 		}
-		if around.pressure < strain*0.8 {
-			want = top // tries that don't answer to our level are no reason to stay low
+		for _, r := range g.rules.cheap {
+			cut := min(1, max(0, excess)/max(g.usual[r], 0.001))
+			want, excess = want-cut, excess-cut*g.usual[r]
 		}
 		g.level = max(levelLow, min(want, g.level+levelEase))
 	}
-	g.past = append(g.past, sum{g.level, g.now})
 	now := levelled{make([]float64, len(g.usual)), make([]int, len(g.usual))}
 	for i, r := range g.rules.cheap {
 		part := max(levelLow, min(1, g.level-(top-1-float64(i))))
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -3,17 +3,17 @@
 
 // bounds are the figures that decisions use, derived from the facts of the start.
 type bounds struct {
-	sliced, oneOwner, asks, advice        bool
-	listed                                bool    // listed weights mean something
-	freshRoom                             float64 // of its share, for a host just started
-	queue, head                           float64 // lines in the channel; lines a message
-	standby                               float64 // weight of a standby line
-	messages                              int     // most messages to a proxy within span; 0: any
-	span, hurry, settle, reportEvery, lag Millis
-	levels                                Valve
-	ways                                  []int     // further tries that can't take effect twice, by route
-	cheap                                 []RouteID // routes by importance, least first
-	writes, ownZone, everyRoute           RouteSet
+	sliced, oneOwner, asks, advice   bool
+	listed                           bool    // listed weights mean something
+	freshRoom                        float64 // of its share, for a host just started
+	queue, head                      float64 // lines in the channel; lines a message
+	standby                          float64 // weight of a standby line
+	messages                         int     // most messages to a proxy within span; 0: any
+	span, hurry, settle, reportEvery Millis
+	levels                           Valve
+	ways                             []int     // further tries that can't take effect twice, by route
+	cheap                            []RouteID // routes by importance, least first
+	writes, ownZone, everyRoute      RouteSet
 }
 
 // Notes between the parts.
@@ -26,6 +26,7 @@
 		ill                  bool    // up, but judged unfit
 		prior                float64 // listed weight
 		weighed              float64 // calls a second for each unit of pressure; 0: not known
+		busy                 float64 // share lately reported, 0: none was
 		loss                 float64 // share of tries lost
 		flow, able           float64 // tries a second; what it could answer of them
 		zone                 ZoneID
@@ -82,7 +83,7 @@
 	ended, lost, good, used sum
 	flow                    float64 // tries a second
 	rate, press             sum
-	full                    sum     // how far the busy share was above full, lately
+	busy                    float64 // share last reported
 	lastLine, gap           Millis  // when last heard of, and how long that takes as a rule
 	due                     float64 // calls a second laid on it
 	dueSince, badSince      Millis
@@ -151,7 +152,6 @@
 	seats  shelf[HostID, standing]
 	asked  []sum
 	usual  []float64 // calls a second by route when none was throttled
-	past   []sum     // levels of the last seconds
 	level  float64   // number of routes let in whole, the most important first
 	next   Millis
 	joined float64
