--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	gateMemory   = Millis(2000)
 	loadMemory   = Millis(4000)
 
-	trialAfter  = Millis(5000) // first wait before a removed host is tried again, since few are; doubles
+	trialAfter  = Millis(4000) // before a removed host is tried again
 	standbyPart = 0.06         // weight of a standby line beside a whole slice
 	pairPart    = 0.4          // the same where proxies pick the less busy of two: they use it as they need it
 	trialPart   = 0.1          // the same where the standby is a host on trial
@@ -205,7 +205,7 @@
 		}
 		if h.known {
 			h.enter(serving)
-			h.outFor, h.rate, h.press, h.busy = 0, sum{}, sum{}, 0
+			h.rate, h.press, h.busy = sum{}, sum{}, 0
 		}
 	}
 	h.entry, h.known = e, true
@@ -265,7 +265,7 @@
 		if bad || silent && quiet > failFor {
 			h.enter(removed)
 		} else if ended > 2 && lost < ended/4 && h.now-h.outUntil > failFor {
-			h.freshUntil = h.now + freshFor
+			h.freshUntil = h.now + freshFor/2 // it may be well, but it is not cold
 			h.enter(serving)
 		}
 	}
@@ -273,8 +273,7 @@
 
 func (h *host) enter(s hostState) {
 	if h.outUntil = h.now; s == removed {
-		h.outFor = min(4*trialAfter, max(trialAfter, 2*h.outFor))
-		h.outUntil += h.outFor
+		h.outUntil += trialAfter
 	}
 	h.state = s
 	h.ended, h.lost, h.badSince, h.lastLine, h.gap, h.due = sum{}, sum{}, 0, 0, 0, 0
