--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	gateMemory   = Millis(2000)
 	loadMemory   = Millis(4000)
 
-	trialAfter  = Millis(4000) // before a removed host is tried again
+	trialAfter  = Millis(2000) // before a removed host is tried again
 	standbyPart = 0.06         // weight of a standby line beside a whole slice
 	pairPart    = 0.4          // the same where proxies pick the less busy of two: they use it as they need it
 	trialPart   = 0.1          // the same where the standby is a host on trial
