--- a/logic/logic.go
+++ b/logic/logic.go
@@ -235,10 +235,14 @@
 	// Read as reports come in, so that the rate doesn't ripple with them.
 	part := (1 - math.Exp2(-float64(h.rules.reportEvery/healthMemory))) * 1000 / float64(h.rules.reportEvery)
 	h.flow = h.ended.read(h.now, healthMemory) * part
-	if m.Load.Busy != nil && m.Lost*3 < m.Ended {
-		// What a host can do is not learnt while its work is wasted, or a jam would teach that it can do nothing.
-		h.good.add(h.now, loadMemory, h.flow-h.lost.read(h.now, healthMemory)*part)
-		h.used.add(h.now, loadMemory, max(0.05, *m.Load.Busy))
+	if m.Load.Busy != nil {
+		// Little is learnt while work is wasted, or a jam would teach at once that the host can do nothing.
+		trust := 1.0
+		if m.Lost*3 >= m.Ended {
+			trust = 0.3
+		}
+		h.good.add(h.now, loadMemory, trust*(h.flow-h.lost.read(h.now, healthMemory)*part))
+		h.used.add(h.now, loadMemory, trust*max(0.05, *m.Load.Busy))
 	}
 }
 
