--- a/logic/logic.go
+++ b/logic/logic.go
@@ -237,10 +237,7 @@
 	h.flow = h.ended.read(h.now, healthMemory) * part
 	if m.Load.Busy != nil {
 		// Little is learnt while work is wasted, or a jam would teach at once that the host can do nothing.
-		trust := 1.0
-		if m.Lost*3 >= m.Ended {
-			trust = 0.3
-		}
+		trust := 1 - 0.7*float64(bit(m.Lost*3 >= m.Ended, 0))
 		h.good.add(h.now, loadMemory, trust*(h.flow-h.lost.read(h.now, healthMemory)*part))
 		h.used.add(h.now, loadMemory, trust*max(0.05, *m.Load.Busy))
 	}
@@ -455,7 +452,7 @@
 	p.weigh()
 	before := p.imbalance()
 	if p.past++; p.firstHeat == 0 || before <= p.most() {
-		p.past = 0
+		p.past = min(p.past, 0)
 	} else if p.past >= 2 {
 		p.run(false)
 		if p.past = 0; p.imbalance() > before*worthMoving {
