Sites without slices: a proxy is placed once its demand is heard, in sixteenths

Cause: proxies were placed one by one at their joining, all on the first host, and a heavy one stayed on one or two. The line for routes that stay in their zone on sites with slices is gone: such sites have none.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -371,6 +371,7 @@
 
 func (p *placer) hear(n Heat) {
 	if pc := p.own.get(n.Slice); pc != nil {
+		p.dirty = p.dirty || !p.rules.sliced && !pc.heard
 		pc.heat.add(p.now, demandMemory, float64(n.Calls))
 		pc.heard = true
 		since(&p.firstHeat, true, p.now)
@@ -483,7 +484,9 @@
 	}
 	for _, pc := range p.byWeight() {
 		var stay lines
-		pc.free = 1
+		if pc.free = 1; !p.rules.sliced && !pc.heard {
+			pc.free = 0 // the common table serves until a proxy's demand is known
+		}
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
 			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.share*p.most() {
@@ -512,7 +515,11 @@
 	if l.part == 0 {
 		return nil
 	}
-	if all || span == 1 {
+	if span == 1 && !p.rules.sliced && l.part > 1.0/64 {
+		// One proxy may carry more than a host can, and has no slice's keys to keep warm: it goes in sixteenths.
+		return slices.Repeat([]leaf{{first, 1, l.part / 16, l.load / 16}}, 16)
+	}
+	if all && p.rules.sliced || span == 1 {
 		return []leaf{l}
 	}
 	return append(p.blocks(first, span/2), p.blocks(first+span/2, span/2)...)
@@ -602,7 +609,7 @@
 	for t, pc := range p.own.all() {
 		table := p.table(pc)
 		if !p.rules.sliced && (!pc.heard || p.now-pc.since < checkEvery) {
-			continue // the common table serves until a proxy's demand is known
+			continue
 		}
 		if len(table) > 0 && !slices.Equal(table, pc.told) {
 			must := len(pc.told) == 0
@@ -662,19 +669,6 @@
 	if len(out) == 1 && pc.spare != 0 {
 		out = append(out, line{pc.spare, part})
 	}
-	if p.rules.ownZone != 0 && p.rules.sliced {
-		// A route that must stay in its zone needs a line there, or its proxies are bare.
-		in := map[ZoneID]bool{}
-		for _, l := range out {
-			in[p.seats.get(l.host).zone] = true
-		}
-		for id, s := range p.seats.all() {
-			if s.in && !s.fresh && !in[s.zone] {
-				in[s.zone] = true
-				out = append(out, line{id, p.rules.standby})
-			}
-		}
-	}
 	return out.sorted()
 }
 
