--- a/logic/logic.go
+++ b/logic/logic.go
@@ -415,9 +415,10 @@
 				s.share *= min(2.5, max(0.1, s.weighed/s.prior/ratios[len(ratios)/2]))
 			}
 			if s.fresh {
-				// Its room grows as it warms. With cold keys, a part of a full load would be more than it can bear.
+				// Its room grows as it warms. The little work it did tells too little for more than its listed share,
+				// and a part of an overload would be more than it can bear with cold keys.
 				grown := p.rules.freshRoom + (1-p.rules.freshRoom)*max(0, 1-float64(s.freshLeft/freshFor))
-				s.share *= grown / max(1, p.around.pressure*p.around.pressure)
+				s.share = min(s.share, s.prior) * grown / max(1, p.around.pressure*p.around.pressure)
 			}
 			shares += s.share
 		}
@@ -707,8 +708,8 @@
 	}
 }
 
-// weigh compares the calls that come with what hosts can do and lets in the part that fits. Tries would not do:
-// they end late, and those of a jam would throttle what comes after it.
+// weigh compares the calls that come with what hosts can do and lets in the part that fits. Tries would not
+// do: they end late, and those of a jam would throttle what comes after it.
 func (g *gate) weigh() {
 	able, tried, lost, busy, of := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.seats.all() {
