--- a/logic/parts.go
+++ b/logic/parts.go
@@ -87,7 +87,7 @@
 	lastLine, gap           Millis  // when last heard of, and how long that takes as a rule
 	due                     float64 // calls a second laid on it
 	dueSince, badSince      Millis
-	outUntil, outFor        Millis
+	outUntil                Millis
 	freshUntil              Millis
 	around                  fleet
 	state                   hostState
