--- a/logic/logic.go
+++ b/logic/logic.go
@@ -195,6 +195,12 @@
 
 // list follows the list. A new birth is a cold host, also where it never left our tables.
 func (h *host) list(e Entry) {
+	if e.State == Gone && h.known {
+		// Being dropped may be advice, but the drain that went before it binds until the host is up again.
+		if e.Zone, e.Cell = h.entry.Zone, h.entry.Cell; h.entry.State == Draining {
+			e.State = Draining
+		}
+	}
 	if e.State == Up && (!h.known || e.Born != h.entry.Born || h.entry.State != Up) {
 		born := e.Born
 		if h.known && e.Born == h.entry.Born {
