--- a/logic/logic.go
+++ b/logic/logic.go
@@ -346,9 +346,13 @@
 			up += int(bit(s.usable || s.ill, 0))
 			ill += int(bit(s.ill, 0))
 		}
-		for _, s := range p.seats.all() {
+		for id, s := range p.seats.all() {
 			// Where most look ill at once, the view or the load is: none is left out for it.
 			in := s.usable || s.ill && ill*2 > up
+			if out := !in && !s.trial; out != s.out {
+				s.out = out
+				p.post(p.to, barred{id, out})
+			}
 			p.dirty, s.in = p.dirty || s.in != in, in
 		}
 		if p.dirty {
@@ -793,9 +797,19 @@
 		} else if p.wants.put(n.table, n.lines); n.urgent {
 			p.urgent.put(n.table, true)
 		}
+	case barred:
+		if !p.rules.oneOwner { // there a table holds nothing else
+			p.barred.put(n.host, n.out)
+		}
 	case levelled:
 		p.levels = n
 	case Joined:
+		for id, out := range p.barred.all() {
+			// It has missed what was written while it was away, in either direction.
+			if out || !n.Fresh {
+				p.masked.put(id, !out)
+			}
+		}
 		p.streams.put(n.Proxy, &stream{zone: n.Zone})
 		p.stood = levelled{} // it may hold the levels of an earlier time
 	case Left:
@@ -848,8 +862,8 @@
 	for _, until := range p.shut.all() {
 		reopen = reopen || p.now >= until
 	}
-	since(&p.hurrySince, pressed || p.urgent.len() > 0, p.now)
-	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels(), p.now)
+	since(&p.hurrySince, pressed || p.urgent.len() > 0 || len(p.unmasked(true)) > 0, p.now)
+	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() || len(p.unmasked(false)) > 0, p.now)
 	p.sent = slices.DeleteFunc(p.sent, func(t Millis) bool { return p.now-t > p.rules.span+gather })
 	last, most, gap := Millis(math.Inf(-1)), math.Inf(1), gather
 	if n := len(p.sent); n > 0 {
@@ -871,6 +885,27 @@
 		!(slices.Equal(p.levels.level, p.stood.level) && slices.Equal(p.levels.tries, p.stood.tries))
 }
 
+// unmasked are the hosts in standing tables whose mask is not yet as it should be, out or in again.
+func (p *publisher) unmasked(out bool) (ids []HostID) {
+	for id, want := range p.barred.all() {
+		if want != out || p.masked.get(id) == out {
+			continue
+		}
+		for _, table := range p.stands.all() {
+			if table.holds(id) {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
+// bare says whether a table has nothing to offer once all hosts are out that should be.
+func (p *publisher) bare(t TableID) bool {
+	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool { return !p.barred.get(l.host) })
+}
+
 // flush writes as much of what is wanted as the channel has room for, removals first. What a reply orders is
 // one message a proxy, so a table's new lines and those that go arrive together.
 func (p *publisher) flush(pressed bool) {
@@ -900,19 +935,50 @@
 	using := func(t TableID) func(*stream) bool {
 		return func(s *stream) bool { return p.rules.sliced || s.bound && s.table == t || t >= zoneTables }
 	}
-	for _, pressing := range []bool{true, false} {
+	mask := func(out bool) (some bool) {
+		for _, id := range p.unmasked(out) {
+			if charge(1, func(*stream) bool { return true }) {
+				p.order(Mask{id, out})
+				p.masked.put(id, out)
+				some = true
+			}
+		}
+		return some
+	}
+	write := func(rank int) {
 		for t, table := range p.wants.all() {
-			if changes := p.changes(t, table); p.urgent.has(t) == pressing && charge(float64(len(changes)), using(t)) {
+			changes, is := p.changes(t, table), 2
+			if p.bare(t) {
+				is = 0
+			} else if p.urgent.has(t) {
+				is = 1
+			}
+			if is == rank && charge(float64(len(changes)), using(t)) {
 				p.out = append(p.out, changes...)
 				p.stands.put(t, table)
 				p.wants.drop(t)
 				p.urgent.drop(t)
+				for _, l := range table {
+					p.masked.put(l.host, p.barred.get(l.host))
+				}
 				if p.rules.oneOwner {
 					p.shut.put(t, p.now+p.rules.settle)
 				}
 			}
 		}
 	}
+	// A host goes out of all tables by one line a proxy, with new lines where it would leave a table bare; at
+	// size those that move its slices would fill the channel for longer than a drain's grace. They follow.
+	aside := float64(len(p.unmasked(true)) * p.streams.len())
+	room -= aside
+	write(0)
+	room = max(0, room) + aside
+	if !mask(true) {
+		room -= (part - ordinaryPart) * p.rules.queue // so that what is still to go out finds a short queue
+		mask(false)
+		write(1)
+		write(2)
+	}
 	p.owners(func(t TableID) bool { return charge(1, using(t)) })
 	for n, s := range p.streams.all() {
 		zone := zoneTables + TableID(s.zone)
@@ -961,6 +1027,9 @@
 		if !slices.Contains(stands, l) {
 			out = append(out, SetLine{t, l.host, l.weight})
 		}
+		if p.masked.get(l.host) && !p.barred.get(l.host) {
+			out = append(out, Mask{l.host, false})
+		}
 	}
 	for _, l := range stands {
 		if !p.rules.oneOwner && !table.holds(l.host) {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -41,6 +41,10 @@
 		lines  lines
 		urgent bool
 	}
+	barred struct { // a host that no table is to offer, or may again
+		host HostID
+		out  bool
+	}
 	levelled struct { // wanted level and further tries, by route
 		level []float64
 		tries []int
@@ -106,7 +110,7 @@
 	standing
 	load, share float64
 	aside       float64 // the part of load that its standby lines bring
-	in          bool    // counted in the run at hand
+	in, out     bool    // counted in the run at hand; kept from all calls
 }
 
 // piece is one slice (or, at sites without slices, one proxy's calls) in the placer's hands.
@@ -183,5 +187,6 @@
 	flights           []*flight
 	serial            SerialID
 	levels, stood     levelled
+	barred, masked    shelf[HostID, bool]    // hosts out or in again, as wanted and as last written
 	shut              shelf[TableID, Millis] // single owners: no writes until the former owner's are settled
 }
