--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,7 @@
 	commonSize  = 8 // hosts in the first table of a site without slices
 
 	ordinaryPart = 0.5 // of the queue and of the messages; the rest is for removals
-	urgentPart   = 0.85
+	urgentPart   = 0.75
 
 	full      = 0.8 // busy share from which a host that turns calls away has too much to do, not a fault
 	strain    = 0.9 // tries for each that the fleet can do: the gate steers to it
@@ -53,7 +53,8 @@
 
 func derive(f Facts) bounds {
 	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, advice: f.GoneIsAdvice,
-		listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines, messages: f.MessageLimit, span: f.MessageSpan,
+		listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines,
+		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, messages: f.MessageLimit, span: f.MessageSpan,
 		levels: f.Levels, reportEvery: max(1, f.ReportEvery),
 		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
@@ -500,6 +501,11 @@
 		}
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
+			if next := p.seats.get(pc.spare); next != nil && next.in && !next.fresh && (s == nil || !s.in) &&
+				len(pc.parts) == 1 && next.load+load <= next.share*p.most() {
+				// Its calls go to the standby already, and find keys warm there: a move now would cost both again.
+				s, l.host = next, pc.spare
+			}
 			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.share*p.most() {
 				continue
 			}
@@ -840,13 +846,22 @@
 	p.shut.drop(t)
 }
 
-// waiting is what may still be in our channel: what proxies have not owned up to. It holds at any pace.
+// waiting is what may still be in our channel: what has not left it at its usual pace, or, once most proxies
+// are late to own up to a message, all that they have not owned up to, which holds at any pace.
 func (p *publisher) waiting() (lines float64) {
 	p.flights = slices.DeleteFunc(p.flights, func(f *flight) bool { return f.left.len() == 0 })
+	slow, all := false, 0.0
 	for _, f := range p.flights {
+		own := 0.0
 		for _, n := range f.left.all() {
-			lines += n
+			own += n
 		}
+		all += own
+		lines += min(own, max(0, float64(f.clear-p.now)*p.rules.pace))
+		slow = slow || p.now > f.clear+p.rules.transit*3/2 && f.left.len()*2 > p.streams.len()
+	}
+	if slow {
+		return all
 	}
 	return lines
 }
@@ -862,19 +877,32 @@
 	for _, until := range p.shut.all() {
 		reopen = reopen || p.now >= until
 	}
-	since(&p.hurrySince, pressed || p.urgent.len() > 0 || len(p.unmasked(true)) > 0, p.now)
+	for t := range p.wants.all() {
+		pressed = pressed || p.bare(t)
+	}
+	masks := len(p.unmasked(true)) > 0
+	since(&p.hurrySince, pressed || masks || p.urgent.len() > 0, p.now)
 	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() || len(p.unmasked(false)) > 0, p.now)
 	p.sent = slices.DeleteFunc(p.sent, func(t Millis) bool { return p.now-t > p.rules.span+gather })
-	last, most, gap := Millis(math.Inf(-1)), math.Inf(1), gather
+	// Heads are paid for each proxy: a message that carries little would fill the channel of a large fleet.
+	heads := 4 * Millis(float64(p.streams.len())*(p.rules.head+1)/p.rules.pace)
+	last, most, gap := Millis(math.Inf(-1)), math.Inf(1), max(gather, 2*heads)
 	if n := len(p.sent); n > 0 {
 		last = p.sent[n-1]
 	}
 	if p.rules.messages > 0 {
 		most = float64(p.rules.messages)
-		gap = max(gather, p.rules.span/Millis(most*ordinaryPart))
+		gap = max(gap, p.rules.span/Millis(most*ordinaryPart))
 	}
 	written := float64(len(p.sent))
-	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-p.rules.hurry) >= p.rules.hurry {
+	hurry := p.rules.hurry
+	if !masks {
+		hurry = max(hurry, heads/2)
+		if !pressed {
+			hurry = max(hurry, heads)
+		}
+	}
+	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-hurry) >= hurry {
 		return true, true
 	}
 	return p.since > 0 && p.now-p.since >= gather && p.now-last >= gap && written < most*ordinaryPart, false
@@ -1009,9 +1037,13 @@
 	p.serial = (p.serial + 1) % 65536
 	cost.serial = p.serial
 	p.order(Stamp{p.serial, false})
+	whole := 0.0
 	for n, lines := range cost.left.all() {
 		cost.left.put(n, lines+p.rules.head+1+levels)
+		whole += lines + p.rules.head + 1 + levels
 	}
+	p.clear = max(p.clear, p.now) + Millis(whole/p.rules.pace)
+	cost.clear = p.clear
 	p.flights = append(p.flights, cost)
 	p.sent = append(p.sent, p.now)
 }
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -6,10 +6,11 @@
 	sliced, oneOwner, asks, advice   bool
 	listed                           bool    // listed weights mean something
 	freshRoom                        float64 // of its share, for a host just started
-	queue, head                      float64 // lines in the channel; lines a message
+	queue, head, pace                float64 // lines in the channel, a message, and sent in a millisecond
 	standby                          float64 // weight of a standby line
 	messages                         int     // most messages to a proxy within span; 0: any
 	span, hurry, settle, reportEvery Millis
+	transit                          Millis
 	levels                           Valve
 	ways                             []int     // further tries that can't take effect twice, by route
 	cheap                            []RouteID // routes by importance, least first
@@ -173,6 +174,7 @@
 type flight struct {
 	serial SerialID
 	left   shelf[ProxyID, float64]
+	clear  Millis // when the last of it leaves the channel at its usual pace
 }
 
 // publisher turns what is wanted into the fewest messages the channel is sure to carry.
@@ -186,6 +188,7 @@
 	sent              []Millis
 	flights           []*flight
 	serial            SerialID
+	clear             Millis // when the channel is empty at its usual pace
 	levels, stood     levelled
 	barred, masked    shelf[HostID, bool]    // hosts out or in again, as wanted and as last written
 	shut              shelf[TableID, Millis] // single owners: no writes until the former owner's are settled
