--- a/logic/logic.go
+++ b/logic/logic.go
@@ -82,6 +82,7 @@
 	d.seed, d.rules = seed, derive(f)
 	d.publish = &publisher{loop: &d.loop}
 	d.place = &placer{loop: &d.loop, to: d.publish, mean: 1}
+	d.publish.place = d.place
 	n := len(f.Routes)
 	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(n), asked: make([]sum, n),
 		usual: make([]float64, n)}
@@ -324,6 +325,10 @@
 		p.around = n
 	case kept:
 		p.adopt(n.table, n.lines)
+	case laid:
+		if pc := p.own.get(n.table); pc != nil {
+			pc.laid = pc.parts
+		}
 	case Custody:
 		p.own.drop(n.Slice)
 	case Joined:
@@ -376,6 +381,7 @@
 		}
 	}
 	pc.parts = pc.parts.scaled()
+	pc.laid = pc.parts
 	p.own.put(t, pc)
 	p.dirty = true
 }
@@ -407,7 +413,7 @@
 			pc.weight = pc.heat.rate(p.now, demandMemory, from)
 		}
 		p.total += pc.weight
-		for _, l := range pc.parts {
+		for _, l := range p.stands(pc) {
 			if s := p.seats.get(l.host); s != nil {
 				s.load += l.weight * pc.weight
 			}
@@ -439,6 +445,16 @@
 	}
 }
 
+// stands is where a slice's calls go: what is only planned waits for the channel, and may for long at size.
+func (p *placer) stands(pc *piece) lines {
+	for _, l := range pc.laid {
+		if s := p.seats.get(l.host); s == nil || !s.in {
+			return pc.parts
+		}
+	}
+	return pc.laid
+}
+
 // most is the imbalance tolerated: beyond the maximum while even the fullest host has room, since a move then
 // only costs warm keys.
 func (p *placer) most() float64 {
@@ -467,6 +483,9 @@
 	if p.past++; p.firstHeat == 0 || before <= p.most() {
 		p.past = min(p.past, 0)
 	} else if p.past >= 2 {
+		for _, pc := range p.own.all() {
+			pc.parts = slices.Clone(p.stands(pc)) // what the channel had no time for is planned anew
+		}
 		p.run(false)
 		if p.past = 0; p.imbalance() > before*worthMoving {
 			p.past = 1
@@ -629,13 +648,16 @@
 			continue
 		}
 		if len(table) > 0 && !slices.Equal(table, pc.told) {
-			must := len(pc.told) == 0
-			for _, l := range pc.told {
+			must, gain, now := len(pc.told) == 0, 0.0, table.scaled()
+			for _, l := range pc.laid {
 				s := p.seats.get(l.host)
 				must = must || urgent && (s == nil || !s.in || s.fresh)
+				if s != nil {
+					gain += max(0, l.weight-now.part(l.host)) * pc.weight * s.load / max(s.share, 1e-9)
+				}
 			}
 			pc.told = table
-			p.post(p.to, wanted{t, table, must})
+			p.post(p.to, wanted{t, table, must, gain})
 		}
 	}
 	for _, s := range p.seats.all() {
@@ -663,7 +685,7 @@
 		}
 	}
 	for t, all := range tables.all() {
-		p.post(p.to, wanted{t, all, urgent})
+		p.post(p.to, wanted{t, all, urgent, 1})
 	}
 }
 
@@ -797,11 +819,8 @@
 		if s := p.streams.get(ProxyID(n.table) - 1); s != nil {
 			s.wants = n.table
 		}
-		p.wants.drop(n.table)
-		if slices.Equal(p.stands.get(n.table), n.lines) {
-			p.urgent.drop(n.table)
-		} else if p.wants.put(n.table, n.lines); n.urgent {
-			p.urgent.put(n.table, true)
+		if p.wants.drop(n.table); !slices.Equal(p.stands.get(n.table), n.lines) {
+			p.wants.put(n.table, n)
 		}
 	case barred:
 		if !p.rules.oneOwner { // there a table holds nothing else
@@ -842,7 +861,6 @@
 func (p *publisher) forget(t TableID) {
 	p.stands.drop(t)
 	p.wants.drop(t)
-	p.urgent.drop(t)
 	p.shut.drop(t)
 }
 
@@ -877,11 +895,12 @@
 	for _, until := range p.shut.all() {
 		reopen = reopen || p.now >= until
 	}
-	for t := range p.wants.all() {
-		pressed = pressed || p.bare(t)
+	urgent := false
+	for t, w := range p.wants.all() {
+		urgent, pressed = urgent || w.urgent, pressed || p.bare(t)
 	}
 	masks := len(p.unmasked(true)) > 0
-	since(&p.hurrySince, pressed || masks || p.urgent.len() > 0, p.now)
+	since(&p.hurrySince, pressed || masks || urgent, p.now)
 	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() || len(p.unmasked(false)) > 0, p.now)
 	p.sent = slices.DeleteFunc(p.sent, func(t Millis) bool { return p.now-t > p.rules.span+gather })
 	// Heads are paid for each proxy: a message that carries little would fill the channel of a large fleet.
@@ -973,39 +992,41 @@
 		}
 		return some
 	}
-	write := func(rank int) {
-		for t, table := range p.wants.all() {
-			changes, is := p.changes(t, table), 2
-			if p.bare(t) {
-				is = 0
-			} else if p.urgent.has(t) {
-				is = 1
+	write := func(bare bool) {
+		var order []wanted
+		for t, w := range p.wants.all() {
+			if p.bare(t) == bare {
+				order = append(order, w)
 			}
-			if is == rank && charge(float64(len(changes)), using(t)) {
-				p.out = append(p.out, changes...)
-				p.stands.put(t, table)
-				p.wants.drop(t)
-				p.urgent.drop(t)
-				for _, l := range table {
-					p.masked.put(l.host, p.barred.get(l.host))
-				}
-				if p.rules.oneOwner {
-					p.shut.put(t, p.now+p.rules.settle)
-				}
+		}
+		slices.SortStableFunc(order, func(a, b wanted) int { return cmp.Compare(b.gain, a.gain) })
+		for _, w := range order {
+			t, changes := w.table, p.changes(w.table, w.lines)
+			if !charge(float64(len(changes)), using(t)) {
+				break
+			}
+			p.out = append(p.out, changes...)
+			p.stands.put(t, w.lines)
+			p.wants.drop(t)
+			p.post(p.place, laid{t})
+			for _, l := range w.lines {
+				p.masked.put(l.host, p.barred.get(l.host))
+			}
+			if p.rules.oneOwner {
+				p.shut.put(t, p.now+p.rules.settle)
 			}
 		}
 	}
 	// A host goes out of all tables by one line a proxy, with new lines where it would leave a table bare; at
 	// size those that move its slices would fill the channel for longer than a drain's grace. They follow.
+	mask(false)
 	aside := float64(len(p.unmasked(true)) * p.streams.len())
 	room -= aside
-	write(0)
+	write(true)
 	room = max(0, room) + aside
 	if !mask(true) {
 		room -= (part - ordinaryPart) * p.rules.queue // so that what is still to go out finds a short queue
-		mask(false)
-		write(1)
-		write(2)
+		write(false)
 	}
 	p.owners(func(t TableID) bool { return charge(1, using(t)) })
 	for n, s := range p.streams.all() {
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -139,6 +139,15 @@
 	return slices.ContainsFunc(ls, func(l line) bool { return l.host == id })
 }
 
+func (ls lines) part(id HostID) float64 {
+	for _, l := range ls {
+		if l.host == id {
+			return l.weight
+		}
+	}
+	return 0
+}
+
 func (ls lines) plus(id HostID, weight float64) lines {
 	for i := range ls {
 		if ls[i].host == id {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -41,8 +41,10 @@
 		table  TableID
 		lines  lines
 		urgent bool
+		gain   float64 // calls a second it takes off their host, times how over-worked that is
 	}
-	barred struct { // a host that no table is to offer, or may again
+	laid   struct{ table TableID } // a wanted table is written
+	barred struct {                // a host that no table is to offer, or may again
 		host HostID
 		out  bool
 	}
@@ -119,6 +121,7 @@
 	num    TableID
 	parts  lines   // weight is the part of the slice; all add up to 1
 	was    lines   // the parts before the run at hand
+	laid   lines   // the parts last written
 	free   float64 // the part that the run at hand is to place
 	spare  HostID
 	heat   sum
@@ -181,8 +184,9 @@
 type publisher struct {
 	inbox
 	*loop
-	stands, wants     shelf[TableID, lines]
-	urgent            shelf[TableID, bool]
+	place             *placer
+	stands            shelf[TableID, lines]
+	wants             shelf[TableID, wanted]
 	since, hurrySince Millis // since when changes, and removals, wait
 	streams           shelf[ProxyID, *stream]
 	sent              []Millis
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -22,6 +23,7 @@
 	notes    []any
 	due      []Millis
 	tables   map[TableID]map[HostID]float64
+	masked   map[HostID]bool
 	levels   map[string]Throttle
 	bound    map[ProxyID]TableID
 	joined   map[ProxyID]bool
@@ -217,10 +219,18 @@
 	return keys
 }
 
+// offers is what a table offers to proxies.
+func (s *stage) offers(t TableID) map[HostID]float64 {
+	open := maps.Clone(s.tables[t])
+	maps.DeleteFunc(open, func(id HostID, _ float64) bool { return s.masked[id] })
+	return open
+}
+
 // main is the host with the most weight in a table.
 func (s *stage) main(t TableID) (best HostID) {
-	for id, w := range s.tables[t] {
-		if w > s.tables[t][best] {
+	open := s.offers(t)
+	for id, w := range open {
+		if w > open[best] {
 			best = id
 		}
 	}
@@ -246,6 +256,9 @@
 			if s.tables[o.Table][o.Host] = o.Weight; o.Weight == 0 {
 				delete(s.tables[o.Table], o.Host)
 			}
+		case Mask:
+			wrote = true
+			s.masked[o.Host] = o.Out
 		case Throttle:
 			wrote = true
 			for r := range s.facts.Routes {
@@ -270,8 +283,8 @@
 	if wrote && len(s.joined) > 0 {
 		s.sent = append(s.sent, s.now)
 	}
-	for t, lines := range s.tables {
-		if len(lines) == 0 && before[t] != 0 {
+	for t := range s.tables {
+		if len(s.offers(t)) == 0 && before[t] != 0 {
 			s.t.Errorf("%s: table %d is bare at %v", s.where, t, s.now)
 		}
 		if before[t] != 0 && s.main(t) != before[t] {
@@ -282,8 +295,8 @@
 
 // load is the weight of a host over all tables, in whole slices.
 func (s *stage) load(id HostID) (sum float64) {
-	for _, lines := range s.tables {
-		whole := 0.0
+	for t := range s.tables {
+		lines, whole := s.offers(t), 0.0
 		for _, w := range lines {
 			whole += w
 		}
@@ -312,9 +325,9 @@
 	case "main": // of a table
 		got = float64(s.main(TableID(number(w[1]))))
 	case "weight": // of a line: table host
-		got = s.tables[TableID(number(w[1]))][HostID(number(w[2]))]
+		got = s.offers(TableID(number(w[1])))[HostID(number(w[2]))]
 	case "lines": // of a table
-		got = float64(len(s.tables[TableID(number(w[1]))]))
+		got = float64(len(s.offers(TableID(number(w[1])))))
 	case "load": // of a host
 		got = s.load(HostID(number(w[1])))
 	case "moved":
@@ -347,7 +360,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &stage{t: t, tables: map[TableID]map[HostID]float64{}, levels: map[string]Throttle{},
+	s := &stage{t: t, tables: map[TableID]map[HostID]float64{}, masked: map[HostID]bool{}, levels: map[string]Throttle{},
 		bound: map[ProxyID]TableID{}, joined: map[ProxyID]bool{}, acks: map[Millis][]Applied{},
 		feeds: map[string][]any{}, every: 500, now: 100000}
 	var all []Order
