--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,8 +38,9 @@
 	trialSlices = 8
 	commonSize  = 8 // hosts in the first table of a site without slices
 
-	ordinaryPart = 0.5 // of the queue and of the messages; the rest is for removals
-	urgentPart   = 0.75
+	ordinaryPart = 0.5  // of the queue and of the messages; the rest is for removals
+	barePart     = 0.65 // for tables that would be left bare
+	urgentPart   = 0.85 // for hosts that go out
 
 	full      = 0.8 // busy share from which a host that turns calls away has too much to do, not a fault
 	strain    = 0.9 // tries for each that the fleet can do: the gate steers to it
@@ -63,6 +64,8 @@
 		b.standby = pairPart
 	}
 	b.hurry = max(0, min(gather, (f.DrainGrace-f.WorstTransit)/4))
+	// What is to go out within the grace must find no longer a queue than it can wait for.
+	b.ordinary = max(ordinaryPart/2, min(ordinaryPart, 1.6*float64(b.hurry)*b.pace/max(1, b.queue)))
 	for i, r := range f.Routes {
 		// One that may take effect twice is tried again only after proof that it never ran.
 		b.ways = append(b.ways, 1+int(bit(r.Repeat == Repeatable, 0)))
@@ -222,6 +225,7 @@
 func (h *host) met(m Met) {
 	h.ended.add(h.now, healthMemory, float64(m.Ended))
 	h.lost.add(h.now, healthMemory, float64(m.Lost))
+	h.spent.add(h.now, healthMemory, float64(m.Spent)*float64(m.Ended-m.Lost))
 	if h.lastLine > 0 && h.now > h.lastLine {
 		h.gap += (h.now - h.lastLine - h.gap) * 0.2
 	}
@@ -236,7 +240,10 @@
 	}
 	if m.Load.Busy != nil {
 		press = *m.Load.Busy
-		h.busy = press
+		if h.busy == 0 {
+			h.busy = press
+		}
+		h.busy += (press - h.busy) * 0.4 // one report is noisy
 	}
 	h.rate.add(h.now, loadMemory, rate)
 	h.press.add(h.now, loadMemory, press)
@@ -285,7 +292,7 @@
 		h.outUntil += trialAfter
 	}
 	h.state = s
-	h.ended, h.lost, h.badSince, h.lastLine, h.gap, h.due = sum{}, sum{}, 0, 0, 0, 0
+	h.spent, h.ended, h.lost, h.badSince, h.lastLine, h.gap, h.due = sum{}, sum{}, sum{}, 0, 0, 0, 0
 }
 
 func (h *host) tell() {
@@ -293,6 +300,7 @@
 	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
 		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1, busy: h.busy,
 		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1)}
+	s.spent = h.spent.read(h.now, healthMemory) / max(0.1, ended*(1-s.loss))
 	up := h.known && h.entry.State == Up
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
@@ -398,13 +406,16 @@
 func (p *placer) weigh() {
 	shares := 0.0
 	// What hosts show is set against what they were listed for, so that the unit of pressure drops out.
-	var ratios []float64
+	var ratios, times []float64
 	for _, s := range p.seats.all() {
 		if s.aside, s.load = 0, 0; s.weighed > 0 && s.in {
 			ratios = append(ratios, s.weighed/s.prior)
 		}
+		if s.spent > 0 && s.in {
+			times = append(times, s.spent)
+		}
 	}
-	slices.Sort(ratios)
+	usual := middle(times)
 	p.total = 0
 	for _, pc := range p.own.all() {
 		// Reports of a slice just given are still to come: until then it counts as the others do.
@@ -429,7 +440,7 @@
 		if s.share = 0; s.in {
 			s.share = s.prior
 			if s.weighed > 0 && len(ratios) > 2 {
-				s.share *= min(2.5, max(0.1, s.weighed/s.prior/ratios[len(ratios)/2]))
+				s.share *= min(2.5, max(0.1, s.weighed/s.prior/middle(ratios)))
 			}
 			if s.fresh {
 				// Its room grows as it warms. The little work it did tells too little for more than its listed share,
@@ -442,7 +453,20 @@
 	}
 	for _, s := range p.seats.all() {
 		s.share *= p.total / max(shares, 1e-9)
+		if s.bears = s.share * p.most(); s.busy > 0 && s.busy < headroom && s.spent < usual*3/2 {
+			// A reckoned share is rough, and among many hosts some is always far off: one that has room to spare,
+			// and answers as fast as others, is not over-worked whatever was reckoned.
+			s.bears = max(s.bears, s.load*headroom/s.busy)
+		}
+	}
+}
+
+// middle is the median, 0 of none.
+func middle(of []float64) float64 {
+	if slices.Sort(of); len(of) == 0 {
+		return 0
 	}
+	return of[len(of)/2]
 }
 
 // stands is where a slice's calls go: what is only planned waits for the channel, and may for long at size.
@@ -464,30 +488,32 @@
 	return max(maximum, min(2, headroom/p.around.pressure))
 }
 
-// imbalance is the paper's: the most over-worked host's load over the load it was supposed to have.
-func (p *placer) imbalance() float64 {
-	worst := 0.0
+// imbalance is the paper's: the most over-worked host's load over the load it was supposed to have; and with
+// it all load past the tolerance, since among many hosts the worst may be past help while others aren't.
+func (p *placer) imbalance() (worst, excess float64) {
 	for _, s := range p.seats.all() {
 		if s.in {
-			worst = max(worst, s.load/max(s.share, 1e-9))
+			worst = max(worst, s.load/max(s.bears, 1e-9))
+			excess += max(0, s.load-s.bears)
 		}
 	}
-	return worst
+	return worst, excess
 }
 
 // check is the periodic look: past the maximum twice in a row, the run is played again, and its outcome is
 // installed only if it is worth the cold keys.
 func (p *placer) check() {
 	p.weigh()
-	before := p.imbalance()
-	if p.past++; p.firstHeat == 0 || before <= p.most() {
+	worst, before := p.imbalance()
+	if p.past++; p.firstHeat == 0 || worst <= 1 {
 		p.past = min(p.past, 0)
 	} else if p.past >= 2 {
 		for _, pc := range p.own.all() {
 			pc.parts = slices.Clone(p.stands(pc)) // what the channel had no time for is planned anew
 		}
 		p.run(false)
-		if p.past = 0; p.imbalance() > before*worthMoving {
+		p.past = 0
+		if _, after := p.imbalance(); after > before*worthMoving {
 			p.past = 1
 			for _, pc := range p.own.all() {
 				pc.parts = pc.was
@@ -513,6 +539,12 @@
 	for _, s := range p.seats.all() {
 		s.load = s.aside
 	}
+	for _, pc := range p.own.all() {
+		if s := p.seats.get(pc.spare); s != nil && !onlyMust && s.load > s.share/2 {
+			s.load -= pc.weight * p.rules.standby // it would keep its mains from fitting
+			pc.spare = 0
+		}
+	}
 	for _, pc := range p.byWeight() {
 		var stay lines
 		if pc.free = 1; !p.rules.sliced && !pc.heard {
@@ -521,11 +553,11 @@
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
 			if next := p.seats.get(pc.spare); next != nil && next.in && !next.fresh && (s == nil || !s.in) &&
-				len(pc.parts) == 1 && next.load+load <= next.share*p.most() {
+				len(pc.parts) == 1 && next.load+load <= next.bears {
 				// Its calls go to the standby already, and find keys warm there: a move now would cost both again.
 				s, l.host = next, pc.spare
 			}
-			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.share*p.most() {
+			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.bears {
 				continue
 			}
 			s.load += load
@@ -585,7 +617,7 @@
 	for _, l := range leaves {
 		home.load += l.load
 	}
-	for s := p.roomiest(home); home.load > home.share*p.most() && len(leaves) > 0; s = p.roomiest(home) {
+	for s := p.roomiest(home); home.load > home.bears && len(leaves) > 0; s = p.roomiest(home) {
 		if s == nil || s.share <= s.load {
 			break
 		}
@@ -594,7 +626,7 @@
 		leaves = leaves[1:]
 		room := s.share - s.load
 		if l.load < p.total*chunk {
-			room = s.share*p.most() - s.load
+			room = s.bears - s.load
 		}
 		if l.load > room {
 			if halves := p.split(l, s.share); halves != nil {
@@ -657,7 +689,7 @@
 				}
 			}
 			pc.told = table
-			p.post(p.to, wanted{t, table, must, gain})
+			p.post(p.to, wanted{t, table, must, 0, gain})
 		}
 	}
 	for _, s := range p.seats.all() {
@@ -685,7 +717,7 @@
 		}
 	}
 	for t, all := range tables.all() {
-		p.post(p.to, wanted{t, all, urgent, 1})
+		p.post(p.to, wanted{t, all, urgent, 0, 1})
 	}
 }
 
@@ -819,6 +851,9 @@
 		if s := p.streams.get(ProxyID(n.table) - 1); s != nil {
 			s.wants = n.table
 		}
+		if n.at = p.now; p.wants.has(n.table) {
+			n.at = p.wants.get(n.table).at
+		}
 		if p.wants.drop(n.table); !slices.Equal(p.stands.get(n.table), n.lines) {
 			p.wants.put(n.table, n)
 		}
@@ -852,8 +887,8 @@
 			}
 		}
 	case settleNow:
-		if now, pressed := p.due(); now {
-			p.flush(pressed)
+		if p.due() {
+			p.flush()
 		}
 	}
 }
@@ -884,10 +919,10 @@
 	return lines
 }
 
-// due says whether to write now, and whether because a removal presses. Ordinary changes gather and leave a
+// due says whether to write now. Ordinary changes gather and leave a
 // part of the messages a proxy may get to removals.
-func (p *publisher) due() (now, pressed bool) {
-	rebind, reopen := false, false
+func (p *publisher) due() bool {
+	rebind, reopen, pressed, urgent := false, false, false, false
 	for _, s := range p.streams.all() {
 		rebind = rebind || !p.rules.sliced && (!s.bound || s.wants != s.table)
 		pressed = pressed || !p.rules.sliced && !s.bound
@@ -895,7 +930,6 @@
 	for _, until := range p.shut.all() {
 		reopen = reopen || p.now >= until
 	}
-	urgent := false
 	for t, w := range p.wants.all() {
 		urgent, pressed = urgent || w.urgent, pressed || p.bare(t)
 	}
@@ -922,9 +956,9 @@
 		}
 	}
 	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-hurry) >= hurry {
-		return true, true
+		return true
 	}
-	return p.since > 0 && p.now-p.since >= gather && p.now-last >= gap && written < most*ordinaryPart, false
+	return p.since > 0 && p.now-p.since >= gather && p.now-last >= gap && written < most*ordinaryPart
 }
 
 func (p *publisher) relevels() bool {
@@ -955,25 +989,22 @@
 
 // flush writes as much of what is wanted as the channel has room for, removals first. What a reply orders is
 // one message a proxy, so a table's new lines and those that go arrive together.
-func (p *publisher) flush(pressed bool) {
-	part := ordinaryPart
-	if pressed {
-		part = urgentPart
-	}
+func (p *publisher) flush() {
 	levels, cost, start := float64(len(p.rules.ways)), &flight{}, len(p.out)
-	room := p.rules.queue*part - p.waiting()
-	room -= float64(p.streams.len()) * (p.rules.head + 1 + levels)
-	// charge books lines with each proxy that uses a table, if there is room for all of them.
-	charge := func(lines float64, uses func(*stream) bool) bool {
+	filled := p.waiting() + float64(p.streams.len())*(p.rules.head+1+levels)
+	// charge books lines with each proxy that uses a table, if that part of the queue has room for all of them.
+	charge := func(part, lines float64, uses func(*stream) bool) bool {
 		var users []ProxyID
 		for n, s := range p.streams.all() {
 			if uses(s) {
 				users = append(users, n)
 			}
 		}
-		if room -= lines * float64(len(users)); room < 0 {
+		more := lines * float64(len(users))
+		if filled+more > p.rules.queue*part {
 			return false
 		}
+		filled += more
 		for _, n := range users {
 			cost.left.put(n, cost.left.get(n)+lines)
 		}
@@ -982,9 +1013,10 @@
 	using := func(t TableID) func(*stream) bool {
 		return func(s *stream) bool { return p.rules.sliced || s.bound && s.table == t || t >= zoneTables }
 	}
+	all := func(*stream) bool { return true }
 	mask := func(out bool) (some bool) {
 		for _, id := range p.unmasked(out) {
-			if charge(1, func(*stream) bool { return true }) {
+			if charge(urgentPart, 1, all) {
 				p.order(Mask{id, out})
 				p.masked.put(id, out)
 				some = true
@@ -992,25 +1024,42 @@
 		}
 		return some
 	}
-	write := func(bare bool) {
+	write := func(bare bool, part float64) {
 		var order []wanted
 		for t, w := range p.wants.all() {
 			if p.bare(t) == bare {
 				order = append(order, w)
 			}
 		}
-		slices.SortStableFunc(order, func(a, b wanted) int { return cmp.Compare(b.gain, a.gain) })
+		slices.SortStableFunc(order, func(a, b wanted) int {
+			if bare {
+				return cmp.Compare(a.at, b.at)
+			}
+			return cmp.Compare(b.gain, a.gain)
+		})
 		for _, w := range order {
-			t, changes := w.table, p.changes(w.table, w.lines)
-			if !charge(float64(len(changes)), using(t)) {
+			t, lines := w.table, w.lines
+			if held := p.stands.get(t); bare && len(held) > 0 && p.rules.sliced && !p.rules.oneOwner {
+				// Just what calls need, where many tables are bare at once: what goes and the standby can wait.
+				lines = slices.Clone(held)
+				for _, l := range w.lines {
+					if l.weight > p.rules.standby && !held.holds(l.host) {
+						lines = append(lines, l)
+					}
+				}
+				lines.sorted()
+			}
+			changes := p.changes(t, lines)
+			if !charge(part, float64(len(changes)), using(t)) {
 				break
 			}
 			p.out = append(p.out, changes...)
-			p.stands.put(t, w.lines)
-			p.wants.drop(t)
+			if p.stands.put(t, lines); slices.Equal(lines, w.lines) {
+				p.wants.drop(t)
+			}
 			p.post(p.place, laid{t})
-			for _, l := range w.lines {
-				p.masked.put(l.host, p.barred.get(l.host))
+			for _, l := range lines {
+				p.masked.put(l.host, p.masked.get(l.host) && p.barred.get(l.host))
 			}
 			if p.rules.oneOwner {
 				p.shut.put(t, p.now+p.rules.settle)
@@ -1020,20 +1069,16 @@
 	// A host goes out of all tables by one line a proxy, with new lines where it would leave a table bare; at
 	// size those that move its slices would fill the channel for longer than a drain's grace. They follow.
 	mask(false)
-	aside := float64(len(p.unmasked(true)) * p.streams.len())
-	room -= aside
-	write(true)
-	room = max(0, room) + aside
+	write(true, barePart)
 	if !mask(true) {
-		room -= (part - ordinaryPart) * p.rules.queue // so that what is still to go out finds a short queue
-		write(false)
+		write(false, p.rules.ordinary) // what is yet to go out finds a short queue
 	}
-	p.owners(func(t TableID) bool { return charge(1, using(t)) })
+	p.owners(func(t TableID) bool { return charge(barePart, 1, using(t)) })
 	for n, s := range p.streams.all() {
 		zone := zoneTables + TableID(s.zone)
 		lines := 2 + float64(len(p.stands.get(s.wants))+len(p.stands.get(zone)))
 		if p.rules.sliced || s.bound && s.wants == s.table || !p.stands.has(s.wants) ||
-			!charge(lines, func(x *stream) bool { return x == s }) {
+			!charge(barePart, lines, func(x *stream) bool { return x == s }) {
 			continue
 		}
 		if own := p.rules.ownZone; own != 0 && !s.bound {
@@ -1044,7 +1089,7 @@
 		}
 		s.table, s.bound = s.wants, true
 	}
-	if p.relevels() && charge(levels, func(*stream) bool { return true }) {
+	if p.relevels() && charge(barePart, levels, all) {
 		for i, level := range p.levels.level {
 			if p.stood.level == nil || level != p.stood.level[i] || p.levels.tries[i] != p.stood.tries[i] {
 				p.order(Throttle{EveryTable, 1 << i, level, p.levels.tries[i]})
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -8,6 +8,7 @@
 	freshRoom                        float64 // of its share, for a host just started
 	queue, head, pace                float64 // lines in the channel, a message, and sent in a millisecond
 	standby                          float64 // weight of a standby line
+	ordinary                         float64 // part of the queue for what doesn't press
 	messages                         int     // most messages to a proxy within span; 0: any
 	span, hurry, settle, reportEvery Millis
 	transit                          Millis
@@ -28,6 +29,7 @@
 		prior                float64 // listed weight
 		weighed              float64 // calls a second for each unit of pressure; 0: not known
 		busy                 float64 // share lately reported, 0: none was
+		spent                float64 // mean time of an answer, in milliseconds
 		loss                 float64 // share of tries lost
 		flow, able           float64 // tries a second; what it could answer of them
 		zone                 ZoneID
@@ -41,6 +43,7 @@
 		table  TableID
 		lines  lines
 		urgent bool
+		at     Millis  // since when it waits
 		gain   float64 // calls a second it takes off their host, times how over-worked that is
 	}
 	laid   struct{ table TableID } // a wanted table is written
@@ -88,6 +91,7 @@
 	entry                   Entry
 	known                   bool
 	ended, lost, good, used sum
+	spent                   sum     // time of the answers
 	flow                    float64 // tries a second
 	rate, press             sum
 	busy                    float64 // share last reported
@@ -112,6 +116,7 @@
 type seat struct {
 	standing
 	load, share float64
+	bears       float64 // load from which it is over-worked
 	aside       float64 // the part of load that its standby lines bring
 	in, out     bool    // counted in the run at hand; kept from all calls
 }
