--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,6 +17,7 @@
 const (
 	maximum     = 1.1          // imbalance tolerated, from the paper
 	chunk       = 1.0 / 40     // of the load: below it a leaf need only not overload
+	roomy       = 0.6          // busy share below which a host is not over-worked, whatever was reckoned
 	headroom    = 0.8          // of what a host can do: while its fullest has so much, the fleet bears imbalance
 	checkEvery  = Millis(1000) // two checks past the maximum call for a rerun
 	worthMoving = 0.9          // a rerun is installed when it leaves at most this of the imbalance
@@ -453,10 +454,10 @@
 	}
 	for _, s := range p.seats.all() {
 		s.share *= p.total / max(shares, 1e-9)
-		if s.bears = s.share * p.most(); s.busy > 0 && s.busy < headroom && s.spent < usual*3/2 {
+		if s.bears = s.share * p.most(); s.busy > 0 && s.busy < roomy && s.spent < usual*3/2 {
 			// A reckoned share is rough, and among many hosts some is always far off: one that has room to spare,
 			// and answers as fast as others, is not over-worked whatever was reckoned.
-			s.bears = max(s.bears, s.load*headroom/s.busy)
+			s.bears = max(s.bears, s.load*roomy/s.busy)
 		}
 	}
 }
@@ -539,12 +540,6 @@
 	for _, s := range p.seats.all() {
 		s.load = s.aside
 	}
-	for _, pc := range p.own.all() {
-		if s := p.seats.get(pc.spare); s != nil && !onlyMust && s.load > s.share/2 {
-			s.load -= pc.weight * p.rules.standby // it would keep its mains from fitting
-			pc.spare = 0
-		}
-	}
 	for _, pc := range p.byWeight() {
 		var stay lines
 		if pc.free = 1; !p.rules.sliced && !pc.heard {
