--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,8 @@
 	barePart     = 0.65 // for tables that would be left bare
 	urgentPart   = 0.85 // for hosts that go out
 
+	restFor = Millis(2000) // a jammed host is left alone for so long, and then as long at least in use
+
 	full      = 0.8 // busy share from which a host that turns calls away has too much to do, not a fault
 	strain    = 0.9 // tries for each that the fleet can do: the gate steers to it
 	idle      = 0.7 // busy share of the fleet below which nothing is throttled
@@ -74,6 +76,9 @@
 		b.everyRoute |= bit(true, i)
 		b.writes |= bit(r.Writes, i)
 		b.ownZone |= bit(r.OwnZone, i)
+		if b.slo == 0 || r.SLO < b.slo {
+			b.slo = r.SLO
+		}
 	}
 	slices.SortStableFunc(b.cheap, func(x, y RouteID) int {
 		return cmp.Compare(f.Routes[x].Importance, f.Routes[y].Importance)
@@ -265,7 +270,11 @@
 func (h *host) judge(reported Millis) {
 	ended, lost := h.ended.read(h.now, healthMemory), h.lost.read(h.now, healthMemory)
 	bad := ended > 1.5 && lost > ended*(1+h.around.loss)/2
+	jam := bad || ended > 1.5 && h.spent.read(h.now, healthMemory) > (ended-lost)*float64(h.rules.slo)
 	bad = bad && !(h.busy > full && ended-lost > 0.5)
+	if jam && h.around.loss < 0.3 && h.now > h.restUntil+restFor {
+		h.restUntil = h.now + restFor
+	}
 	quiet := reported - max(h.lastLine, h.dueSince)
 	silent := h.lastLine > 0 && h.due > 0 && quiet > 2*h.gap+1000 && float64(quiet)/1000*h.due > 6
 	since(&h.badSince, bad || silent, h.now)
@@ -306,6 +315,7 @@
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
+	s.rests = h.now < h.restUntil
 	s.usable, s.ill, s.trial = up && h.state == serving, up && h.state != serving, up && h.state == onTrial
 	if h.rules.listed && h.entry.Weight > 0 {
 		s.prior = h.entry.Weight
@@ -356,7 +366,7 @@
 			p.check()
 		}
 	case settleNow:
-		up, ill := 0, 0
+		up, ill, resting := 0, 0, 0
 		for _, s := range p.seats.all() {
 			up += int(bit(s.usable || s.ill, 0))
 			ill += int(bit(s.ill, 0))
@@ -364,9 +374,11 @@
 		for id, s := range p.seats.all() {
 			// Where most look ill at once, the view or the load is: none is left out for it.
 			in := s.usable || s.ill && ill*2 > up
-			if out := !in && !s.trial; out != s.out {
-				s.out = out
-				p.post(p.to, barred{id, out})
+			rests := in && s.rests && resting < up/8 && s.load < p.total/float64(up)*1.25
+			resting += int(bit(rests, 0))
+			if out := !in && !s.trial; out != s.out || rests != s.resting {
+				s.out, s.resting = out, rests
+				p.post(p.to, barred{id, out, rests})
 			}
 			p.dirty, s.in = p.dirty || s.in != in, in
 		}
@@ -854,7 +866,7 @@
 		}
 	case barred:
 		if !p.rules.oneOwner { // there a table holds nothing else
-			p.barred.put(n.host, n.out)
+			p.barred.put(n.host, n.out || n.rests && !p.needed(n.host))
 		}
 	case levelled:
 		p.levels = n
@@ -977,6 +989,16 @@
 	return ids
 }
 
+// needed says whether a table has no other host to offer.
+func (p *publisher) needed(id HostID) bool {
+	for _, table := range p.stands.all() {
+		if table.holds(id) && !slices.ContainsFunc(table, func(l line) bool { return l.host != id && !p.barred.get(l.host) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // bare says whether a table has nothing to offer once all hosts are out that should be.
 func (p *publisher) bare(t TableID) bool {
 	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool { return !p.barred.get(l.host) })
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -11,7 +11,7 @@
 	ordinary                         float64 // part of the queue for what doesn't press
 	messages                         int     // most messages to a proxy within span; 0: any
 	span, hurry, settle, reportEvery Millis
-	transit                          Millis
+	transit, slo                     Millis
 	levels                           Valve
 	ways                             []int     // further tries that can't take effect twice, by route
 	cheap                            []RouteID // routes by importance, least first
@@ -26,6 +26,7 @@
 		id                   HostID
 		usable, trial, fresh bool
 		ill                  bool    // up, but judged unfit
+		rests                bool    // jammed: better left alone for a moment
 		prior                float64 // listed weight
 		weighed              float64 // calls a second for each unit of pressure; 0: not known
 		busy                 float64 // share lately reported, 0: none was
@@ -48,8 +49,8 @@
 	}
 	laid   struct{ table TableID } // a wanted table is written
 	barred struct {                // a host that no table is to offer, or may again
-		host HostID
-		out  bool
+		host       HostID
+		out, rests bool
 	}
 	levelled struct { // wanted level and further tries, by route
 		level []float64
@@ -99,7 +100,7 @@
 	due                     float64 // calls a second laid on it
 	dueSince, badSince      Millis
 	outUntil                Millis
-	freshUntil              Millis
+	freshUntil, restUntil   Millis
 	around                  fleet
 	state                   hostState
 }
@@ -118,6 +119,7 @@
 	load, share float64
 	bears       float64 // load from which it is over-worked
 	aside       float64 // the part of load that its standby lines bring
+	resting     bool    // out, but only for a moment
 	in, out     bool    // counted in the run at hand; kept from all calls
 }
 
