--- a/logic/logic.go
+++ b/logic/logic.go
@@ -66,7 +66,9 @@
 	if b.standby = standbyPart; f.Pick == PickPair {
 		b.standby = pairPart
 	}
-	b.hurry = max(0, min(gather, (f.DrainGrace-f.WorstTransit)/4))
+	if b.hurry = max(0, min(gather, (f.DrainGrace-f.WorstTransit)/4)); b.messages > 0 {
+		b.hurry = max(b.hurry, min(b.span/Millis(b.messages), (f.DrainGrace-f.WorstTransit)/2))
+	}
 	// What is to go out within the grace must find no longer a queue than it can wait for.
 	b.ordinary = max(ordinaryPart/2, min(ordinaryPart, 1.6*float64(b.hurry)*b.pace/max(1, b.queue)))
 	for i, r := range f.Routes {
@@ -222,7 +224,7 @@
 		}
 		if h.known {
 			h.enter(serving)
-			h.rate, h.press, h.busy = sum{}, sum{}, 0
+			h.rate, h.press, h.busy, h.voidSince = sum{}, sum{}, 0, 0
 		}
 	}
 	h.entry, h.known = e, true
@@ -237,6 +239,16 @@
 	}
 	h.lastLine = h.now
 	rate := 1000 * float64(m.Ended-m.Lost) / max(1, float64(m.Over))
+	if m.Load.Busy != nil {
+		// A host that always has a call of ours in hand is not idle: such reports are void, or they would draw
+		// load. One alone may be newer than the answers it came with, unless it denies those answers too.
+		since(&h.voidSince, *m.Load.Busy < 0.1 && float64(m.Spent)*rate > 1000, h.now)
+		denied := m.Load.Rate != nil && *m.Load.Rate < rate/4
+		if h.void = h.voidSince > 0 && (denied || h.now-h.voidSince >= failFor); h.void {
+			h.busy = 0
+			return
+		}
+	}
 	if m.Load.Rate != nil {
 		rate = *m.Load.Rate
 	}
@@ -272,7 +284,7 @@
 	bad := ended > 1.5 && lost > ended*(1+h.around.loss)/2
 	jam := bad || ended > 1.5 && h.spent.read(h.now, healthMemory) > (ended-lost)*float64(h.rules.slo)
 	bad = bad && !(h.busy > full && ended-lost > 0.5)
-	if jam && h.around.loss < 0.3 && h.now > h.restUntil+restFor {
+	if jam && h.around.loss < 0.3 && h.around.busy < strain && h.now > h.restUntil+restFor {
 		h.restUntil = h.now + restFor
 	}
 	quiet := reported - max(h.lastLine, h.dueSince)
@@ -308,7 +320,7 @@
 func (h *host) tell() {
 	ended := h.ended.read(h.now, healthMemory)
 	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
-		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1, busy: h.busy,
+		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1, busy: h.busy, void: h.void,
 		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1)}
 	s.spent = h.spent.read(h.now, healthMemory) / max(0.1, ended*(1-s.loss))
 	up := h.known && h.entry.State == Up
@@ -374,11 +386,15 @@
 		for id, s := range p.seats.all() {
 			// Where most look ill at once, the view or the load is: none is left out for it.
 			in := s.usable || s.ill && ill*2 > up
-			rests := in && s.rests && resting < up/8 && s.load < p.total/float64(up)*1.25
-			resting += int(bit(rests, 0))
-			if out := !in && !s.trial; out != s.out || rests != s.resting {
-				s.out, s.resting = out, rests
-				p.post(p.to, barred{id, out, rests})
+			open := opened
+			if !in && !s.trial {
+				open = closed
+			} else if in && s.rests && resting < up/8 && s.load < p.total/float64(up)*1.25 {
+				open, resting = rested, resting+1
+			}
+			if open != s.open {
+				s.open = open
+				p.post(p.to, door{id, open})
 			}
 			p.dirty, s.in = p.dirty || s.in != in, in
 		}
@@ -455,6 +471,9 @@
 			if s.weighed > 0 && len(ratios) > 2 {
 				s.share *= min(2.5, max(0.1, s.weighed/s.prior/middle(ratios)))
 			}
+			if s.void && s.spent > usual {
+				s.share *= max(0.1, usual/s.spent)
+			}
 			if s.fresh {
 				// Its room grows as it warms. The little work it did tells too little for more than its listed share,
 				// and a part of an overload would be more than it can bear with cold keys.
@@ -798,7 +817,7 @@
 		}
 	}
 	able = max(able, tried-lost) // without busy shares, what is answered is all that is known
-	around := fleet{tried / max(able, 0.1), lost / max(tried, 0.1)}
+	around := fleet{tried / max(able, 0.1), lost / max(tried, 0.1), busy / max(of, 0.1)}
 	g.post(g.place, around)
 	for _, s := range g.seats.all() {
 		g.post(s.from, around)
@@ -864,17 +883,23 @@
 		if p.wants.drop(n.table); !slices.Equal(p.stands.get(n.table), n.lines) {
 			p.wants.put(n.table, n)
 		}
-	case barred:
+	case door:
 		if !p.rules.oneOwner { // there a table holds nothing else
-			p.barred.put(n.host, n.out || n.rests && !p.needed(n.host))
+			if !p.doors.has(n.host) {
+				p.masked.put(n.host, false)
+			}
+			if n.open == rested && p.needed(n.host) {
+				n.open = opened
+			}
+			p.doors.put(n.host, n.open)
 		}
 	case levelled:
 		p.levels = n
 	case Joined:
-		for id, out := range p.barred.all() {
+		for id, open := range p.doors.all() {
 			// It has missed what was written while it was away, in either direction.
-			if out || !n.Fresh {
-				p.masked.put(id, !out)
+			if open != opened || !n.Fresh {
+				p.masked.drop(id)
 			}
 		}
 		p.streams.put(n.Proxy, &stream{zone: n.Zone})
@@ -938,11 +963,12 @@
 		reopen = reopen || p.now >= until
 	}
 	for t, w := range p.wants.all() {
-		urgent, pressed = urgent || w.urgent, pressed || p.bare(t)
+		urgent, pressed = urgent || w.urgent, pressed || p.bare(t, 0)
 	}
-	masks := len(p.unmasked(true)) > 0
+	masks := len(p.ajar(closed)) > 0
 	since(&p.hurrySince, pressed || masks || urgent, p.now)
-	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() || len(p.unmasked(false)) > 0, p.now)
+	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() ||
+		len(p.ajar(opened)) > 0 || len(p.ajar(rested)) > 0, p.now)
 	p.sent = slices.DeleteFunc(p.sent, func(t Millis) bool { return p.now-t > p.rules.span+gather })
 	// Heads are paid for each proxy: a message that carries little would fill the channel of a large fleet.
 	heads := 4 * Millis(float64(p.streams.len())*(p.rules.head+1)/p.rules.pace)
@@ -962,6 +988,9 @@
 			hurry = max(hurry, heads)
 		}
 	}
+	if !masks && !pressed {
+		most *= urgentPart // the last messages are for what the rules ask
+	}
 	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-hurry) >= hurry {
 		return true
 	}
@@ -973,10 +1002,15 @@
 		!(slices.Equal(p.levels.level, p.stood.level) && slices.Equal(p.levels.tries, p.stood.tries))
 }
 
-// unmasked are the hosts in standing tables whose mask is not yet as it should be, out or in again.
-func (p *publisher) unmasked(out bool) (ids []HostID) {
-	for id, want := range p.barred.all() {
-		if want != out || p.masked.get(id) == out {
+// stale says whether a host's mask is not known to be as it should be.
+func (p *publisher) stale(id HostID) bool {
+	return p.doors.has(id) && (!p.masked.has(id) || p.masked.get(id) == (p.doors.get(id) == opened))
+}
+
+// ajar are the hosts in standing tables whose mask is not yet as it should be.
+func (p *publisher) ajar(open opening) (ids []HostID) {
+	for id, want := range p.doors.all() {
+		if want != open || !p.stale(id) {
 			continue
 		}
 		for _, table := range p.stands.all() {
@@ -991,17 +1025,17 @@
 
 // needed says whether a table has no other host to offer.
 func (p *publisher) needed(id HostID) bool {
-	for _, table := range p.stands.all() {
-		if table.holds(id) && !slices.ContainsFunc(table, func(l line) bool { return l.host != id && !p.barred.get(l.host) }) {
+	for t, table := range p.stands.all() {
+		if table.holds(id) && p.bare(t, id) {
 			return true
 		}
 	}
 	return false
 }
 
-// bare says whether a table has nothing to offer once all hosts are out that should be.
-func (p *publisher) bare(t TableID) bool {
-	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool { return !p.barred.get(l.host) })
+// bare says whether a table has nothing to offer once all hosts are out that should be, and one more.
+func (p *publisher) bare(t TableID, but HostID) bool {
+	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool { return l.host != but && p.doors.get(l.host) == opened })
 }
 
 // flush writes as much of what is wanted as the channel has room for, removals first. What a reply orders is
@@ -1031,11 +1065,11 @@
 		return func(s *stream) bool { return p.rules.sliced || s.bound && s.table == t || t >= zoneTables }
 	}
 	all := func(*stream) bool { return true }
-	mask := func(out bool) (some bool) {
-		for _, id := range p.unmasked(out) {
+	mask := func(open opening) (some bool) {
+		for _, id := range p.ajar(open) {
 			if charge(urgentPart, 1, all) {
-				p.order(Mask{id, out})
-				p.masked.put(id, out)
+				p.order(Mask{id, open != opened})
+				p.masked.put(id, open != opened)
 				some = true
 			}
 		}
@@ -1044,7 +1078,7 @@
 	write := func(bare bool, part float64) {
 		var order []wanted
 		for t, w := range p.wants.all() {
-			if p.bare(t) == bare {
+			if p.bare(t, 0) == bare {
 				order = append(order, w)
 			}
 		}
@@ -1076,7 +1110,9 @@
 			}
 			p.post(p.place, laid{t})
 			for _, l := range lines {
-				p.masked.put(l.host, p.masked.get(l.host) && p.barred.get(l.host))
+				if p.doors.get(l.host) == opened {
+					p.masked.put(l.host, false)
+				}
 			}
 			if p.rules.oneOwner {
 				p.shut.put(t, p.now+p.rules.settle)
@@ -1085,9 +1121,10 @@
 	}
 	// A host goes out of all tables by one line a proxy, with new lines where it would leave a table bare; at
 	// size those that move its slices would fill the channel for longer than a drain's grace. They follow.
-	mask(false)
+	mask(opened)
 	write(true, barePart)
-	if !mask(true) {
+	if !mask(closed) {
+		mask(rested)
 		write(false, p.rules.ordinary) // what is yet to go out finds a short queue
 	}
 	p.owners(func(t TableID) bool { return charge(barePart, 1, using(t)) })
@@ -1142,7 +1179,7 @@
 		if !slices.Contains(stands, l) {
 			out = append(out, SetLine{t, l.host, l.weight})
 		}
-		if p.masked.get(l.host) && !p.barred.get(l.host) {
+		if p.stale(l.host) && p.doors.get(l.host) == opened {
 			out = append(out, Mask{l.host, false})
 		}
 	}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -26,6 +26,7 @@
 		id                   HostID
 		usable, trial, fresh bool
 		ill                  bool    // up, but judged unfit
+		void                 bool    // its load reports can't be true
 		rests                bool    // jammed: better left alone for a moment
 		prior                float64 // listed weight
 		weighed              float64 // calls a second for each unit of pressure; 0: not known
@@ -38,8 +39,8 @@
 		from                 *host
 		freshLeft            Millis
 	}
-	fleet    struct{ pressure, loss float64 } // demand over capacity; share of tries lost
-	expected struct{ rate float64 }           // calls a second that the placer has laid on a host
+	fleet    struct{ pressure, loss, busy float64 } // demand over capacity; share of tries lost; busy share
+	expected struct{ rate float64 }                 // calls a second that the placer has laid on a host
 	wanted   struct {
 		table  TableID
 		lines  lines
@@ -47,10 +48,10 @@
 		at     Millis  // since when it waits
 		gain   float64 // calls a second it takes off their host, times how over-worked that is
 	}
-	laid   struct{ table TableID } // a wanted table is written
-	barred struct {                // a host that no table is to offer, or may again
-		host       HostID
-		out, rests bool
+	laid struct{ table TableID } // a wanted table is written
+	door struct {                // whether tables may offer a host
+		host HostID
+		open opening
 	}
 	levelled struct { // wanted level and further tries, by route
 		level []float64
@@ -99,10 +100,12 @@
 	lastLine, gap           Millis  // when last heard of, and how long that takes as a rule
 	due                     float64 // calls a second laid on it
 	dueSince, badSince      Millis
+	voidSince               Millis
 	outUntil                Millis
 	freshUntil, restUntil   Millis
 	around                  fleet
 	state                   hostState
+	void                    bool // its load reports can't be true
 }
 
 type hostState int
@@ -113,14 +116,22 @@
 	onTrial
 )
 
+type opening int
+
+const (
+	opened opening = iota
+	rested
+	closed
+)
+
 // seat is what the placer holds of a host.
 type seat struct {
 	standing
 	load, share float64
 	bears       float64 // load from which it is over-worked
 	aside       float64 // the part of load that its standby lines bring
-	resting     bool    // out, but only for a moment
-	in, out     bool    // counted in the run at hand; kept from all calls
+	in          bool    // counted in the run at hand
+	open        opening // kept from all calls, for good or for a moment
 }
 
 // piece is one slice (or, at sites without slices, one proxy's calls) in the placer's hands.
@@ -201,6 +212,7 @@
 	serial            SerialID
 	clear             Millis // when the channel is empty at its usual pace
 	levels, stood     levelled
-	barred, masked    shelf[HostID, bool]    // hosts out or in again, as wanted and as last written
+	doors             shelf[HostID, opening] // hosts that were ever out, as wanted
+	masked            shelf[HostID, bool]    // the same as last written, where that is known
 	shut              shelf[TableID, Millis] // single owners: no writes until the former owner's are settled
 }
