--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,7 @@
 		listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines,
 		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, messages: f.MessageLimit, span: f.MessageSpan,
 		levels: f.Levels, reportEvery: max(1, f.ReportEvery),
-		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
+		warmFor: f.WarmAfter, settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
 	b.freshRoom = min(freshRoom, max(0.05, f.ColdFrom*f.TipMultiple/3))
 	if b.standby = standbyPart; f.Pick == PickPair {
@@ -220,7 +220,7 @@
 			born = h.now
 		}
 		if born > 0 {
-			h.freshUntil = born + freshFor
+			h.freshUntil, h.coldUntil = born+freshFor, born+max(freshFor, h.rules.warmFor)
 		}
 		if h.known {
 			h.enter(serving)
@@ -327,6 +327,8 @@
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
+	s.cold = h.now < h.coldUntil
+	s.leaves = h.known && !up && (h.entry.State == Draining || !h.rules.advice)
 	s.rests = h.now < h.restUntil
 	s.usable, s.ill, s.trial = up && h.state == serving, up && h.state != serving, up && h.state == onTrial
 	if h.rules.listed && h.entry.Weight > 0 {
@@ -388,7 +390,9 @@
 			in := s.usable || s.ill && ill*2 > up
 			open := opened
 			if !in && !s.trial {
-				open = closed
+				if open = closed; s.leaves {
+					open = bound
+				}
 			} else if in && s.rests && resting < up/8 && s.load < p.total/float64(up)*1.25 {
 				open, resting = rested, resting+1
 			}
@@ -474,7 +478,7 @@
 			if s.void && s.spent > usual {
 				s.share *= max(0.1, usual/s.spent)
 			}
-			if s.fresh {
+			if s.cold {
 				// Its room grows as it warms. The little work it did tells too little for more than its listed share,
 				// and a part of an overload would be more than it can bear with cold keys.
 				grown := p.rules.freshRoom + (1-p.rules.freshRoom)*max(0, 1-float64(s.freshLeft/freshFor))
@@ -777,6 +781,9 @@
 		if s.cell != main.cell {
 			score += 100
 		}
+		if !s.cold {
+			score += 200 // it may get all of the slice at once
+		}
 		if s.in && !s.fresh && !pc.parts.holds(id) && (best == 0 || score > most) {
 			best, most = id, score
 		}
@@ -965,7 +972,8 @@
 	for t, w := range p.wants.all() {
 		urgent, pressed = urgent || w.urgent, pressed || p.bare(t, 0)
 	}
-	masks := len(p.ajar(closed)) > 0
+	masks := len(p.ajar(bound)) > 0
+	pressed = pressed || len(p.ajar(closed)) > 0
 	since(&p.hurrySince, pressed || masks || urgent, p.now)
 	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() ||
 		len(p.ajar(opened)) > 0 || len(p.ajar(rested)) > 0, p.now)
@@ -1094,7 +1102,7 @@
 				// Just what calls need, where many tables are bare at once: what goes and the standby can wait.
 				lines = slices.Clone(held)
 				for _, l := range w.lines {
-					if l.weight > p.rules.standby && !held.holds(l.host) {
+					if l.weight*2 >= w.lines.heaviest().weight && !held.holds(l.host) {
 						lines = append(lines, l)
 					}
 				}
@@ -1122,8 +1130,9 @@
 	// A host goes out of all tables by one line a proxy, with new lines where it would leave a table bare; at
 	// size those that move its slices would fill the channel for longer than a drain's grace. They follow.
 	mask(opened)
+	first := mask(bound)
 	write(true, barePart)
-	if !mask(closed) {
+	if !mask(closed) && !first {
 		mask(rested)
 		write(false, p.rules.ordinary) // what is yet to go out finds a short queue
 	}
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -148,6 +148,15 @@
 	return 0
 }
 
+func (ls lines) heaviest() (h line) {
+	for _, l := range ls {
+		if l.weight > h.weight {
+			h = l
+		}
+	}
+	return h
+}
+
 func (ls lines) plus(id HostID, weight float64) lines {
 	for i := range ls {
 		if ls[i].host == id {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -11,7 +11,7 @@
 	ordinary                         float64 // part of the queue for what doesn't press
 	messages                         int     // most messages to a proxy within span; 0: any
 	span, hurry, settle, reportEvery Millis
-	transit, slo                     Millis
+	transit, slo, warmFor            Millis
 	levels                           Valve
 	ways                             []int     // further tries that can't take effect twice, by route
 	cheap                            []RouteID // routes by importance, least first
@@ -25,6 +25,8 @@
 	standing  struct {                  // a host's word on itself, to placer and gate
 		id                   HostID
 		usable, trial, fresh bool
+		cold                 bool    // it may not be warm yet
+		leaves               bool    // it drains, or is gone where that binds
 		ill                  bool    // up, but judged unfit
 		void                 bool    // its load reports can't be true
 		rests                bool    // jammed: better left alone for a moment
@@ -103,6 +105,7 @@
 	voidSince               Millis
 	outUntil                Millis
 	freshUntil, restUntil   Millis
+	coldUntil               Millis
 	around                  fleet
 	state                   hostState
 	void                    bool // its load reports can't be true
@@ -121,7 +124,8 @@
 const (
 	opened opening = iota
 	rested
-	closed
+	closed // judged unfit, or no longer listed
+	bound  // the same, and the rules ask for it
 )
 
 // seat is what the placer holds of a host.
