--- a/logic/logic.go
+++ b/logic/logic.go
@@ -880,6 +880,7 @@
 		}
 	case Custody:
 		p.forget(n.Slice)
+		p.stood = levelled{} // a slice given is let in whole
 	case wanted:
 		if s := p.streams.get(ProxyID(n.table) - 1); s != nil {
 			s.wants = n.table
@@ -973,7 +974,8 @@
 		urgent, pressed = urgent || w.urgent, pressed || p.bare(t, 0)
 	}
 	masks := len(p.ajar(bound)) > 0
-	pressed = pressed || len(p.ajar(closed)) > 0
+	pressed = pressed || len(p.ajar(closed)) > 0 ||
+		p.relevels() && p.stood.level == nil && slices.Min(p.levels.level) < 1
 	since(&p.hurrySince, pressed || masks || urgent, p.now)
 	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() ||
 		len(p.ajar(opened)) > 0 || len(p.ajar(rested)) > 0, p.now)
