--- a/logic/logic.go
+++ b/logic/logic.go
@@ -430,8 +430,10 @@
 func (p *placer) hear(n Heat) {
 	if pc := p.own.get(n.Slice); pc != nil {
 		p.dirty = p.dirty || !p.rules.sliced && !pc.heard
-		pc.heat.add(p.now, demandMemory, float64(n.Calls))
-		pc.heard = true
+		// A thinned report covers long and comes at once: its calls are weighed as if heard one by one.
+		span := float64(max(1, n.Over)) / (float64(demandMemory) / math.Ln2)
+		pc.heat.add(p.now, demandMemory, float64(n.Calls)*(1-math.Exp(-span))/span)
+		pc.heard, pc.last = true, p.now
 		since(&p.firstHeat, true, p.now)
 	}
 }
@@ -454,7 +456,7 @@
 		// Reports of a slice just given are still to come: until then it counts as the others do.
 		from := max(pc.since, p.firstHeat-p.rules.reportEvery)
 		if pc.heard || p.firstHeat > 0 && p.now-from > demandMemory/2 {
-			pc.weight = pc.heat.rate(p.now, demandMemory, from)
+			pc.weight = pc.heat.rate(max(pc.last, p.now-2*demandMemory), demandMemory, from)
 		}
 		p.total += pc.weight
 		for _, l := range p.stands(pc) {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -149,6 +149,7 @@
 	heat   sum
 	since  Millis
 	heard  bool
+	last   Millis  // when last heard of
 	weight float64 // calls a second
 	told   lines
 }
