--- a/logic/logic.go
+++ b/logic/logic.go
@@ -239,41 +239,39 @@
 	}
 	h.lastLine = h.now
 	rate := 1000 * float64(m.Ended-m.Lost) / max(1, float64(m.Over))
-	if m.Load.Busy != nil {
+	// Read as reports come in, so that the rate doesn't ripple with them.
+	part := (1 - math.Exp2(-float64(h.rules.reportEvery/healthMemory))) * 1000 / float64(h.rules.reportEvery)
+	h.flow = h.ended.read(h.now, healthMemory) * part
+	busy, press := m.Load.Busy, float64(m.Spent)*rate/1000
+	if busy != nil {
 		// A host that always has a call of ours in hand is not idle: such reports are void, or they would draw
 		// load. One alone may be newer than the answers it came with, unless it denies those answers too.
-		since(&h.voidSince, *m.Load.Busy < 0.1 && float64(m.Spent)*rate > 1000, h.now)
+		since(&h.voidSince, *busy < 0.1 && press > 1, h.now)
 		denied := m.Load.Rate != nil && *m.Load.Rate < rate/4
 		if h.void = h.voidSince > 0 && (denied || h.now-h.voidSince >= failFor); h.void {
-			h.busy = 0
-			return
+			guess := min(1, float64(m.Spent/h.rules.slo))
+			busy = &guess
 		}
-	}
-	if m.Load.Rate != nil {
-		rate = *m.Load.Rate
-	}
-	press := float64(m.Spent) * rate / 1000
-	if m.Load.InHand != nil {
-		press = *m.Load.InHand
-	}
-	if m.Load.Busy != nil {
-		press = *m.Load.Busy
 		if h.busy == 0 {
-			h.busy = press
+			h.busy = *busy
 		}
-		h.busy += (press - h.busy) * 0.4 // one report is noisy
-	}
-	h.rate.add(h.now, loadMemory, rate)
-	h.press.add(h.now, loadMemory, press)
-	// Read as reports come in, so that the rate doesn't ripple with them.
-	part := (1 - math.Exp2(-float64(h.rules.reportEvery/healthMemory))) * 1000 / float64(h.rules.reportEvery)
-	h.flow = h.ended.read(h.now, healthMemory) * part
-	if m.Load.Busy != nil {
+		h.busy += (*busy - h.busy) * 0.4 // one report is noisy
 		// Little is learnt while work is wasted, or a jam would teach at once that the host can do nothing.
 		trust := 1 - 0.7*float64(bit(m.Lost*3 >= m.Ended, 0))
 		h.good.add(h.now, loadMemory, trust*(h.flow-h.lost.read(h.now, healthMemory)*part))
-		h.used.add(h.now, loadMemory, trust*max(0.05, *m.Load.Busy))
+		h.used.add(h.now, loadMemory, trust*max(0.05, *busy))
+		press = *busy
+	} else if m.Load.InHand != nil {
+		press = *m.Load.InHand
+	}
+	if h.void {
+		return
 	}
+	if m.Load.Rate != nil {
+		rate = *m.Load.Rate
+	}
+	h.rate.add(h.now, loadMemory, rate)
+	h.press.add(h.now, loadMemory, press)
 }
 
 // judge finds a host that fails most of its tries, or one into which calls go and out of which nothing comes.
