--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,7 +56,7 @@
 )
 
 func derive(f Facts) bounds {
-	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, advice: f.GoneIsAdvice,
+	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, probes: f.MayProbe, advice: f.GoneIsAdvice,
 		listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines,
 		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, messages: f.MessageLimit, span: f.MessageSpan,
 		levels: f.Levels, reportEvery: max(1, f.ReportEvery),
@@ -147,6 +147,10 @@
 		}
 	case Asked:
 		d.post(d, Heat{TableID(n.Proxy) + 1, n.Route, n.Over, n.Calls, n.Lost})
+	case Probed:
+		if h := d.hosts.get(n.Host); h != nil {
+			d.post(h, n)
+		}
 	case Custody:
 		d.stored.drop(n.Slice)
 		d.post(d.place, n)
@@ -177,7 +181,9 @@
 	for _, e := range r.Entries {
 		named[e.Host] = true
 		if !d.hosts.has(e.Host) {
-			d.hosts.put(e.Host, &host{loop: &d.loop, id: e.Host, place: d.place, gate: d.gate})
+			// One that the list adds later may be none of ours, and take calls that it never answers.
+			d.hosts.put(e.Host, &host{loop: &d.loop, id: e.Host, place: d.place, gate: d.gate,
+				unproven: d.rules.probes && r.Kind != FromDisk})
 		}
 		d.post(d.hosts.get(e.Host), e)
 	}
@@ -199,7 +205,14 @@
 		h.due = n.rate
 	case fleet:
 		h.around = n
+	case Probed:
+		h.unproven = h.unproven && !n.Good
 	case pulse:
+		if h.unproven && h.entry.State == Up && h.now >= h.probeAt {
+			h.order(Ping{h.id})
+			h.probeEvery = min(4*checkEvery, max(checkEvery, 2*h.probeEvery))
+			h.probeAt = h.now + h.probeEvery
+		}
 		h.judge(n.reported)
 	case settleNow:
 		h.tell()
@@ -233,6 +246,7 @@
 func (h *host) met(m Met) {
 	h.ended.add(h.now, healthMemory, float64(m.Ended))
 	h.lost.add(h.now, healthMemory, float64(m.Lost))
+	h.unproven = h.unproven && m.Ended == m.Lost
 	h.spent.add(h.now, healthMemory, float64(m.Spent)*float64(m.Ended-m.Lost))
 	if h.lastLine > 0 && h.now > h.lastLine {
 		h.gap += (h.now - h.lastLine - h.gap) * 0.2
@@ -322,11 +336,13 @@
 		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1)}
 	s.spent = h.spent.read(h.now, healthMemory) / max(0.1, ended*(1-s.loss))
 	up := h.known && h.entry.State == Up
+	s.unproven = up && h.unproven
+	up = up && !h.unproven
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
 	s.cold = h.now < h.coldUntil
-	s.leaves = h.known && !up && (h.entry.State == Draining || !h.rules.advice)
+	s.leaves = h.known && h.entry.State != Up && !up && (h.entry.State == Draining || !h.rules.advice)
 	s.rests = h.now < h.restUntil
 	s.usable, s.ill, s.trial = up && h.state == serving, up && h.state != serving, up && h.state == onTrial
 	if h.rules.listed && h.entry.Weight > 0 {
@@ -385,7 +401,7 @@
 		}
 		for id, s := range p.seats.all() {
 			// Where most look ill at once, the view or the load is: none is left out for it.
-			in := s.usable || s.ill && ill*2 > up
+			in := s.usable || s.ill && ill*2 > up || s.unproven && up == 0
 			open := opened
 			if !in && !s.trial {
 				if open = closed; s.leaves {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -4,6 +4,7 @@
 // bounds are the figures that decisions use, derived from the facts of the start.
 type bounds struct {
 	sliced, oneOwner, asks, advice   bool
+	probes                           bool
 	listed                           bool    // listed weights mean something
 	freshRoom                        float64 // of its share, for a host just started
 	queue, head, pace                float64 // lines in the channel, a message, and sent in a millisecond
@@ -26,6 +27,7 @@
 		id                   HostID
 		usable, trial, fresh bool
 		cold                 bool    // it may not be warm yet
+		unproven             bool    // up, but has yet to answer anything
 		leaves               bool    // it drains, or is gone where that binds
 		ill                  bool    // up, but judged unfit
 		void                 bool    // its load reports can't be true
@@ -108,6 +110,8 @@
 	coldUntil               Millis
 	around                  fleet
 	state                   hostState
+	unproven                bool // it has yet to answer anything
+	probeAt, probeEvery     Millis
 	void                    bool // its load reports can't be true
 }
 
