--- a/logic/logic.go
+++ b/logic/logic.go
@@ -132,46 +132,6 @@
 	return d.out
 }
 
-func (d *Director) take(n any) {
-	switch n := n.(type) {
-	case Roster:
-		d.roster(n)
-	case OnRecord:
-		if d.stored.has(n.Slice) && n.Weight > 0 {
-			d.stored.put(n.Slice, append(d.stored.get(n.Slice), line{n.Host, n.Weight}))
-		}
-	case Met:
-		if h := d.hosts.get(n.Host); h != nil {
-			d.reported = d.now
-			d.post(h, n)
-		}
-	case Asked:
-		d.post(d, Heat{TableID(n.Proxy) + 1, n.Route, n.Over, n.Calls, n.Lost})
-	case Probed:
-		if h := d.hosts.get(n.Host); h != nil {
-			d.post(h, n)
-		}
-	case Custody:
-		d.stored.drop(n.Slice)
-		d.post(d.place, n)
-		d.post(d.publish, n)
-		if n.Given {
-			d.stored.put(n.Slice, nil)
-		}
-	case Due:
-		d.order(After{beat, 0})
-		for _, h := range d.hosts.all() {
-			d.post(h, pulse{d.reported})
-		}
-		d.post(d.gate, n)
-		d.post(d.place, n)
-	default:
-		d.post(d.place, n)
-		d.post(d.gate, n)
-		d.post(d.publish, n)
-	}
-}
-
 func (d *Director) roster(r Roster) {
 	if r.Kind == AskFailed {
 		d.follows, d.askAgain = false, d.now+checkEvery
@@ -194,31 +154,6 @@
 	}
 }
 
-func (h *host) take(n any) {
-	switch n := n.(type) {
-	case Entry:
-		h.list(n)
-	case Met:
-		h.met(n)
-	case expected:
-		since(&h.dueSince, n.rate > 0, h.now)
-		h.due = n.rate
-	case fleet:
-		h.around = n
-	case Probed:
-		h.unproven = h.unproven && !n.Good
-	case pulse:
-		if h.unproven && h.entry.State == Up && h.now >= h.probeAt {
-			h.order(Ping{h.id})
-			h.probeEvery = min(4*checkEvery, max(checkEvery, 2*h.probeEvery))
-			h.probeAt = h.now + h.probeEvery
-		}
-		h.judge(n.reported)
-	case settleNow:
-		h.tell()
-	}
-}
-
 // list follows the list. A new birth is a cold host, also where it never left our tables.
 func (h *host) list(e Entry) {
 	if e.State == Gone && h.known {
@@ -292,6 +227,11 @@
 // One that turns calls away while it reports full work is overloaded, not sick: taking it out would pass its
 // load on to the next. What all lose is no sign against one, and silence is one only while others are heard.
 func (h *host) judge(reported Millis) {
+	if h.unproven && h.entry.State == Up && h.now >= h.probeAt {
+		h.order(Ping{h.id})
+		h.probeEvery = min(4*checkEvery, max(checkEvery, 2*h.probeEvery))
+		h.probeAt = h.now + h.probeEvery
+	}
 	ended, lost := h.ended.read(h.now, healthMemory), h.lost.read(h.now, healthMemory)
 	bad := ended > 1.5 && lost > ended*(1+h.around.loss)/2
 	jam := bad || ended > 1.5 && h.spent.read(h.now, healthMemory) > (ended-lost)*float64(h.rules.slo)
@@ -358,70 +298,44 @@
 	h.post(h.gate, s)
 }
 
-func (p *placer) take(n any) {
-	switch n := n.(type) {
-	case standing:
-		s := p.seats.get(n.id)
-		if s == nil {
-			s = &seat{}
-			p.seats.put(n.id, s)
-		}
-		p.dirty = p.dirty || s.trial != n.trial || !s.fresh && n.fresh
-		s.standing = n
-	case fleet:
-		p.around = n
-	case kept:
-		p.adopt(n.table, n.lines)
-	case laid:
-		if pc := p.own.get(n.table); pc != nil {
-			pc.laid = pc.parts
-		}
-	case Custody:
-		p.own.drop(n.Slice)
-	case Joined:
-		if !p.rules.sliced {
-			p.adopt(TableID(n.Proxy)+1, nil)
-		}
-	case Left:
-		if !p.rules.sliced {
-			p.own.drop(TableID(n.Proxy) + 1)
-		}
-	case Heat:
-		p.hear(n)
-	case Due:
-		if p.now >= p.next {
-			p.next = p.now + checkEvery
-			p.check()
-		}
-	case settleNow:
-		up, ill, resting := 0, 0, 0
-		for _, s := range p.seats.all() {
-			up += int(bit(s.usable || s.ill, 0))
-			ill += int(bit(s.ill, 0))
-		}
-		for id, s := range p.seats.all() {
-			// Where most look ill at once, the view or the load is: none is left out for it.
-			in := s.usable || s.ill && ill*2 > up || s.unproven && up == 0
-			open := opened
-			if !in && !s.trial {
-				if open = closed; s.leaves {
-					open = bound
-				}
-			} else if in && s.rests && resting < up/8 && s.load < p.total/float64(up)*1.25 {
-				open, resting = rested, resting+1
-			}
-			if open != s.open {
-				s.open = open
-				p.post(p.to, door{id, open})
+func (p *placer) seat(n standing) {
+	s := p.seats.get(n.id)
+	if s == nil {
+		s = &seat{}
+		p.seats.put(n.id, s)
+	}
+	p.dirty = p.dirty || s.trial != n.trial || !s.fresh && n.fresh
+	s.standing = n
+}
+
+func (p *placer) settle() {
+	up, ill, resting := 0, 0, 0
+	for _, s := range p.seats.all() {
+		up += int(bit(s.usable || s.ill, 0))
+		ill += int(bit(s.ill, 0))
+	}
+	for id, s := range p.seats.all() {
+		// Where most look ill at once, the view or the load is: none is left out for it.
+		in := s.usable || s.ill && ill*2 > up || s.unproven && up == 0
+		open := opened
+		if !in && !s.trial {
+			if open = closed; s.leaves {
+				open = bound
 			}
-			p.dirty, s.in = p.dirty || s.in != in, in
+		} else if in && s.rests && resting < up/8 && s.load < p.total/float64(up)*1.25 {
+			open, resting = rested, resting+1
 		}
-		if p.dirty {
-			p.weigh()
-			p.run(true)
-			p.lay(true)
-			p.dirty = false
+		if open != s.open {
+			s.open = open
+			p.post(p.to, door{id, open})
 		}
+		p.dirty, s.in = p.dirty || s.in != in, in
+	}
+	if p.dirty {
+		p.weigh()
+		p.run(true)
+		p.lay(true)
+		p.dirty = false
 	}
 }
 
@@ -513,24 +427,6 @@
 	}
 }
 
-// middle is the median, 0 of none.
-func middle(of []float64) float64 {
-	if slices.Sort(of); len(of) == 0 {
-		return 0
-	}
-	return of[len(of)/2]
-}
-
-// stands is where a slice's calls go: what is only planned waits for the channel, and may for long at size.
-func (p *placer) stands(pc *piece) lines {
-	for _, l := range pc.laid {
-		if s := p.seats.get(l.host); s == nil || !s.in {
-			return pc.parts
-		}
-	}
-	return pc.laid
-}
-
 // most is the imbalance tolerated: beyond the maximum while even the fullest host has room, since a move then
 // only costs warm keys.
 func (p *placer) most() float64 {
@@ -555,6 +451,10 @@
 // check is the periodic look: past the maximum twice in a row, the run is played again, and its outcome is
 // installed only if it is worth the cold keys.
 func (p *placer) check() {
+	if p.now < p.next {
+		return
+	}
+	p.next = p.now + checkEvery
 	p.weigh()
 	worst, before := p.imbalance()
 	if p.past++; p.firstHeat == 0 || worst <= 1 {
@@ -576,15 +476,6 @@
 	p.lay(false)
 }
 
-func (p *placer) byWeight() []*piece {
-	var order []*piece
-	for _, pc := range p.own.all() {
-		order = append(order, pc)
-	}
-	slices.SortStableFunc(order, func(a, b *piece) int { return cmp.Compare(b.weight, a.weight) })
-	return order
-}
-
 // loosen frees the parts that must move. Fitting leaves stay, the heaviest first, so that few move; with
 // onlyMust, a host that is merely too full keeps what it has, a cold one keeps what it has room for.
 func (p *placer) loosen(onlyMust bool) {
@@ -701,14 +592,6 @@
 	return []leaf{half, half}
 }
 
-func (p *placer) assign(l leaf, to HostID) {
-	for t, pc := range p.own.all() {
-		if int(t) >= l.first && int(t) < l.first+l.span {
-			pc.parts = pc.parts.plus(to, l.part)
-		}
-	}
-}
-
 // lay tells the publisher what each table is to hold, and each host what has been laid on it.
 func (p *placer) lay(urgent bool) {
 	nth, every := 0, max(1, p.own.len()/trialSlices)
@@ -807,29 +690,13 @@
 	return best
 }
 
-func (g *gate) take(n any) {
-	switch n := n.(type) {
-	case standing:
-		g.seats.put(n.id, n)
-	case Heat:
-		if int(n.Route) < len(g.asked) {
-			g.asked[n.Route].add(g.now, gateMemory, float64(n.Calls))
-		}
-	case Joined:
-		g.joined++
-	case Left:
-		g.joined--
-	case Due:
-		if g.now >= g.next {
-			g.next = g.now + checkEvery
-			g.weigh()
-		}
-	}
-}
-
 // weigh compares the calls that come with what hosts can do and lets in the part that fits. Tries would not
 // do: they end late, and those of a jam would throttle what comes after it.
 func (g *gate) weigh() {
+	if g.now < g.next {
+		return
+	}
+	g.next = g.now + checkEvery
 	able, tried, lost, busy, of := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.seats.all() {
 		if s.usable {
@@ -887,72 +754,41 @@
 	}
 }
 
-func (p *publisher) take(n any) {
-	switch n := n.(type) {
-	case kept:
-		p.stands.put(n.table, n.lines)
-		if p.rules.oneOwner {
-			p.shut.put(n.table, 0) // whoever had the slice may have moved it in its last moments
-		}
-	case Custody:
-		p.forget(n.Slice)
-		p.stood = levelled{} // a slice given is let in whole
-	case wanted:
-		if s := p.streams.get(ProxyID(n.table) - 1); s != nil {
-			s.wants = n.table
-		}
-		if n.at = p.now; p.wants.has(n.table) {
-			n.at = p.wants.get(n.table).at
-		}
-		if p.wants.drop(n.table); !slices.Equal(p.stands.get(n.table), n.lines) {
-			p.wants.put(n.table, n)
-		}
-	case door:
-		if !p.rules.oneOwner { // there a table holds nothing else
-			if !p.doors.has(n.host) {
-				p.masked.put(n.host, false)
-			}
-			if n.open == rested && p.needed(n.host) {
-				n.open = opened
-			}
-			p.doors.put(n.host, n.open)
-		}
-	case levelled:
-		p.levels = n
-	case Joined:
-		for id, open := range p.doors.all() {
-			// It has missed what was written while it was away, in either direction.
-			if open != opened || !n.Fresh {
-				p.masked.drop(id)
-			}
-		}
-		p.streams.put(n.Proxy, &stream{zone: n.Zone})
-		p.stood = levelled{} // it may hold the levels of an earlier time
-	case Left:
-		p.streams.drop(n.Proxy)
-		for _, f := range p.flights {
-			f.left.drop(n.Proxy)
-		}
-		for t, until := range p.shut.all() {
-			p.shut.put(t, max(until, p.now+p.rules.settle))
-		}
-	case Applied:
-		for _, f := range p.flights {
-			if f.serial == n.Serial {
-				f.left.drop(n.Proxy)
-			}
-		}
-	case settleNow:
-		if p.due() {
-			p.flush()
+func (p *publisher) given(n kept) {
+	p.stands.put(n.table, n.lines)
+	if p.rules.oneOwner {
+		p.shut.put(n.table, 0) // whoever had the slice may have moved it in its last moments
+	}
+}
+
+func (p *publisher) move(n door) {
+	if p.rules.oneOwner {
+		return // there a table holds nothing else
+	}
+	if !p.doors.has(n.host) {
+		p.masked.put(n.host, false)
+	}
+	if n.open == rested && p.needed(n.host) {
+		n.open = opened
+	}
+	p.doors.put(n.host, n.open)
+}
+
+func (p *publisher) join(n Joined) {
+	for id, open := range p.doors.all() {
+		// It has missed what was written while it was away, in either direction.
+		if open != opened || !n.Fresh {
+			p.masked.drop(id)
 		}
 	}
+	p.streams.put(n.Proxy, &stream{zone: n.Zone})
+	p.stood = levelled{} // it may hold the levels of an earlier time
 }
 
-func (p *publisher) forget(t TableID) {
-	p.stands.drop(t)
-	p.wants.drop(t)
-	p.shut.drop(t)
+func (p *publisher) unsettle() {
+	for t, until := range p.shut.all() {
+		p.shut.put(t, max(until, p.now+p.rules.settle))
+	}
 }
 
 // waiting is what may still be in our channel: what has not left it at its usual pace, or, once most proxies
@@ -961,10 +797,7 @@
 	p.flights = slices.DeleteFunc(p.flights, func(f *flight) bool { return f.left.len() == 0 })
 	slow, all := false, 0.0
 	for _, f := range p.flights {
-		own := 0.0
-		for _, n := range f.left.all() {
-			own += n
-		}
+		own := f.lines()
 		all += own
 		lines += min(own, max(0, float64(f.clear-p.now)*p.rules.pace))
 		slow = slow || p.now > f.clear+p.rules.transit*3/2 && f.left.len()*2 > p.streams.len()
@@ -1023,77 +856,19 @@
 	return p.since > 0 && p.now-p.since >= gather && p.now-last >= gap && written < most*ordinaryPart
 }
 
-func (p *publisher) relevels() bool {
-	return p.streams.len() > 0 && p.levels.level != nil &&
-		!(slices.Equal(p.levels.level, p.stood.level) && slices.Equal(p.levels.tries, p.stood.tries))
-}
-
-// stale says whether a host's mask is not known to be as it should be.
-func (p *publisher) stale(id HostID) bool {
-	return p.doors.has(id) && (!p.masked.has(id) || p.masked.get(id) == (p.doors.get(id) == opened))
-}
-
-// ajar are the hosts in standing tables whose mask is not yet as it should be.
-func (p *publisher) ajar(open opening) (ids []HostID) {
-	for id, want := range p.doors.all() {
-		if want != open || !p.stale(id) {
-			continue
-		}
-		for _, table := range p.stands.all() {
-			if table.holds(id) {
-				ids = append(ids, id)
-				break
-			}
-		}
-	}
-	return ids
-}
-
-// needed says whether a table has no other host to offer.
-func (p *publisher) needed(id HostID) bool {
-	for t, table := range p.stands.all() {
-		if table.holds(id) && p.bare(t, id) {
-			return true
-		}
-	}
-	return false
-}
-
-// bare says whether a table has nothing to offer once all hosts are out that should be, and one more.
-func (p *publisher) bare(t TableID, but HostID) bool {
-	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool { return l.host != but && p.doors.get(l.host) == opened })
-}
-
 // flush writes as much of what is wanted as the channel has room for, removals first. What a reply orders is
 // one message a proxy, so a table's new lines and those that go arrive together.
 func (p *publisher) flush() {
-	levels, cost, start := float64(len(p.rules.ways)), &flight{}, len(p.out)
-	filled := p.waiting() + float64(p.streams.len())*(p.rules.head+1+levels)
-	// charge books lines with each proxy that uses a table, if that part of the queue has room for all of them.
-	charge := func(part, lines float64, uses func(*stream) bool) bool {
-		var users []ProxyID
-		for n, s := range p.streams.all() {
-			if uses(s) {
-				users = append(users, n)
-			}
-		}
-		more := lines * float64(len(users))
-		if filled+more > p.rules.queue*part {
-			return false
-		}
-		filled += more
-		for _, n := range users {
-			cost.left.put(n, cost.left.get(n)+lines)
-		}
-		return true
-	}
+	levels, start := float64(len(p.rules.ways)), len(p.out)
+	cost := &flight{streams: &p.streams, each: p.rules.head + 1 + levels, queue: p.rules.queue}
+	cost.filled = p.waiting() + float64(p.streams.len())*cost.each
 	using := func(t TableID) func(*stream) bool {
 		return func(s *stream) bool { return p.rules.sliced || s.bound && s.table == t || t >= zoneTables }
 	}
 	all := func(*stream) bool { return true }
 	mask := func(open opening) (some bool) {
 		for _, id := range p.ajar(open) {
-			if charge(urgentPart, 1, all) {
+			if cost.book(urgentPart, 1, all) {
 				p.order(Mask{id, open != opened})
 				p.masked.put(id, open != opened)
 				some = true
@@ -1127,7 +902,7 @@
 				lines.sorted()
 			}
 			changes := p.changes(t, lines)
-			if !charge(part, float64(len(changes)), using(t)) {
+			if !cost.book(part, float64(len(changes)), using(t)) {
 				break
 			}
 			p.out = append(p.out, changes...)
@@ -1154,12 +929,12 @@
 		mask(rested)
 		write(false, p.rules.ordinary) // what is yet to go out finds a short queue
 	}
-	p.owners(func(t TableID) bool { return charge(barePart, 1, using(t)) })
+	p.owners(func(t TableID) bool { return cost.book(barePart, 1, using(t)) })
 	for n, s := range p.streams.all() {
 		zone := zoneTables + TableID(s.zone)
 		lines := 2 + float64(len(p.stands.get(s.wants))+len(p.stands.get(zone)))
 		if p.rules.sliced || s.bound && s.wants == s.table || !p.stands.has(s.wants) ||
-			!charge(barePart, lines, func(x *stream) bool { return x == s }) {
+			!cost.book(barePart, lines, func(x *stream) bool { return x == s }) {
 			continue
 		}
 		if own := p.rules.ownZone; own != 0 && !s.bound {
@@ -1170,7 +945,7 @@
 		}
 		s.table, s.bound = s.wants, true
 	}
-	if p.relevels() && charge(barePart, levels, all) {
+	if p.relevels() && cost.book(barePart, levels, all) {
 		for i, level := range p.levels.level {
 			if p.stood.level == nil || level != p.stood.level[i] || p.levels.tries[i] != p.stood.tries[i] {
 				p.order(Throttle{EveryTable, 1 << i, level, p.levels.tries[i]})
@@ -1184,12 +959,7 @@
 	p.serial = (p.serial + 1) % 65536
 	cost.serial = p.serial
 	p.order(Stamp{p.serial, false})
-	whole := 0.0
-	for n, lines := range cost.left.all() {
-		cost.left.put(n, lines+p.rules.head+1+levels)
-		whole += lines + p.rules.head + 1 + levels
-	}
-	p.clear = max(p.clear, p.now) + Millis(whole/p.rules.pace)
+	p.clear = max(p.clear, p.now) + Millis(cost.seal()/p.rules.pace)
 	cost.clear = p.clear
 	p.flights = append(p.flights, cost)
 	p.sent = append(p.sent, p.now)
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -193,3 +193,267 @@
 	}
 	return out
 }
+
+// The inboxes of the parts: what each does with a note, it does in logic.go.
+
+func (d *Director) take(n any) {
+	switch n := n.(type) {
+	case Roster:
+		d.roster(n)
+	case OnRecord:
+		if d.stored.has(n.Slice) && n.Weight > 0 {
+			d.stored.put(n.Slice, append(d.stored.get(n.Slice), line{n.Host, n.Weight}))
+		}
+	case Met:
+		if h := d.hosts.get(n.Host); h != nil {
+			d.reported = d.now
+			d.post(h, n)
+		}
+	case Asked:
+		d.post(d, Heat{TableID(n.Proxy) + 1, n.Route, n.Over, n.Calls, n.Lost})
+	case Probed:
+		if h := d.hosts.get(n.Host); h != nil {
+			d.post(h, n)
+		}
+	case Custody:
+		d.stored.drop(n.Slice)
+		d.post(d.place, n)
+		d.post(d.publish, n)
+		if n.Given {
+			d.stored.put(n.Slice, nil)
+		}
+	case Due:
+		d.order(After{beat, 0})
+		for _, h := range d.hosts.all() {
+			d.post(h, pulse{d.reported})
+		}
+		d.post(d.gate, n)
+		d.post(d.place, n)
+	default:
+		d.post(d.place, n)
+		d.post(d.gate, n)
+		d.post(d.publish, n)
+	}
+}
+
+func (g *gate) take(n any) {
+	switch n := n.(type) {
+	case standing:
+		g.seats.put(n.id, n)
+	case Heat:
+		if int(n.Route) < len(g.asked) {
+			g.asked[n.Route].add(g.now, gateMemory, float64(n.Calls))
+		}
+	case Joined:
+		g.joined++
+	case Left:
+		g.joined--
+	case Due:
+		g.weigh()
+	}
+}
+
+func (h *host) take(n any) {
+	switch n := n.(type) {
+	case Entry:
+		h.list(n)
+	case Met:
+		h.met(n)
+	case expected:
+		since(&h.dueSince, n.rate > 0, h.now)
+		h.due = n.rate
+	case fleet:
+		h.around = n
+	case Probed:
+		h.unproven = h.unproven && !n.Good
+	case pulse:
+		h.judge(n.reported)
+	case settleNow:
+		h.tell()
+	}
+}
+
+func (p *placer) take(n any) {
+	switch n := n.(type) {
+	case standing:
+		p.seat(n)
+	case fleet:
+		p.around = n
+	case kept:
+		p.adopt(n.table, n.lines)
+	case laid:
+		if pc := p.own.get(n.table); pc != nil {
+			pc.laid = pc.parts
+		}
+	case Custody:
+		p.own.drop(n.Slice)
+	case Joined:
+		if !p.rules.sliced {
+			p.adopt(TableID(n.Proxy)+1, nil)
+		}
+	case Left:
+		if !p.rules.sliced {
+			p.own.drop(TableID(n.Proxy) + 1)
+		}
+	case Heat:
+		p.hear(n)
+	case Due:
+		p.check()
+	case settleNow:
+		p.settle()
+	}
+}
+
+func (p *publisher) take(n any) {
+	switch n := n.(type) {
+	case kept:
+		p.given(n)
+	case Custody:
+		p.stands.drop(n.Slice)
+		p.wants.drop(n.Slice)
+		p.shut.drop(n.Slice)
+		p.stood = levelled{} // a slice given is let in whole
+	case wanted:
+		if s := p.streams.get(ProxyID(n.table) - 1); s != nil {
+			s.wants = n.table
+		}
+		if n.at = p.now; p.wants.has(n.table) {
+			n.at = p.wants.get(n.table).at
+		}
+		if p.wants.drop(n.table); !slices.Equal(p.stands.get(n.table), n.lines) {
+			p.wants.put(n.table, n)
+		}
+	case door:
+		p.move(n)
+	case levelled:
+		p.levels = n
+	case Joined:
+		p.join(n)
+	case Left:
+		p.streams.drop(n.Proxy)
+		for _, f := range p.flights {
+			f.left.drop(n.Proxy)
+		}
+		p.unsettle()
+	case Applied:
+		for _, f := range p.flights {
+			if f.serial == n.Serial {
+				f.left.drop(n.Proxy)
+			}
+		}
+	case settleNow:
+		if p.due() {
+			p.flush()
+		}
+	}
+}
+
+// middle is the median, 0 of none.
+func middle(of []float64) float64 {
+	if slices.Sort(of); len(of) == 0 {
+		return 0
+	}
+	return of[len(of)/2]
+}
+
+// stale says whether a host's mask is not known to be as it should be.
+func (p *publisher) stale(id HostID) bool {
+	return p.doors.has(id) && (!p.masked.has(id) || p.masked.get(id) == (p.doors.get(id) == opened))
+}
+
+// ajar are the hosts in standing tables whose mask is not yet as it should be.
+func (p *publisher) ajar(open opening) (ids []HostID) {
+	for id, want := range p.doors.all() {
+		if want != open || !p.stale(id) {
+			continue
+		}
+		for _, table := range p.stands.all() {
+			if table.holds(id) {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
+// needed says whether a table has no other host to offer.
+func (p *publisher) needed(id HostID) bool {
+	for t, table := range p.stands.all() {
+		if table.holds(id) && p.bare(t, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// bare says whether a table has nothing to offer once all hosts are out that should be, and one more.
+func (p *publisher) bare(t TableID, but HostID) bool {
+	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool { return l.host != but && p.doors.get(l.host) == opened })
+}
+
+// stands is where a slice's calls go: what is only planned waits for the channel, and may for long at size.
+func (p *placer) stands(pc *piece) lines {
+	for _, l := range pc.laid {
+		if s := p.seats.get(l.host); s == nil || !s.in {
+			return pc.parts
+		}
+	}
+	return pc.laid
+}
+
+func (p *placer) byWeight() []*piece {
+	var order []*piece
+	for _, pc := range p.own.all() {
+		order = append(order, pc)
+	}
+	slices.SortStableFunc(order, func(a, b *piece) int { return cmp.Compare(b.weight, a.weight) })
+	return order
+}
+
+func (p *placer) assign(l leaf, to HostID) {
+	for t, pc := range p.own.all() {
+		if int(t) >= l.first && int(t) < l.first+l.span {
+			pc.parts = pc.parts.plus(to, l.part)
+		}
+	}
+}
+
+func (p *publisher) relevels() bool {
+	return p.streams.len() > 0 && p.levels.level != nil &&
+		!(slices.Equal(p.levels.level, p.stood.level) && slices.Equal(p.levels.tries, p.stood.tries))
+}
+
+// book charges lines to each proxy that uses a table, if that part of the queue has room for all of them.
+func (f *flight) book(part, lines float64, uses func(*stream) bool) bool {
+	var users []ProxyID
+	for n, s := range f.streams.all() {
+		if uses(s) {
+			users = append(users, n)
+		}
+	}
+	more := lines * float64(len(users))
+	if f.filled+more > f.queue*part {
+		return false
+	}
+	f.filled += more
+	for _, n := range users {
+		f.left.put(n, f.left.get(n)+lines)
+	}
+	return true
+}
+
+// seal adds the heads and gives all lines of the messages.
+func (f *flight) seal() float64 {
+	for n, lines := range f.left.all() {
+		f.left.put(n, lines+f.each)
+	}
+	return f.lines()
+}
+
+func (f *flight) lines() (sum float64) {
+	for _, n := range f.left.all() {
+		sum += n
+	}
+	return sum
+}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -204,7 +204,10 @@
 type flight struct {
 	serial SerialID
 	left   shelf[ProxyID, float64]
-	clear  Millis // when the last of it leaves the channel at its usual pace
+	// While it is filled: who may get lines, what a message costs beside its own, and how full the queue gets.
+	streams             *shelf[ProxyID, *stream]
+	each, queue, filled float64
+	clear               Millis // when the last of it leaves the channel at its usual pace
 }
 
 // publisher turns what is wanted into the fewest messages the channel is sure to carry.
