--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,11 +1,9 @@
-// Package logic holds every decision of vetchwood, and they are all in this file.
-//
-// A program calls New(seed, facts) at each start and Handle(now, notes) whenever something happened; orders
-// take effect as they come. The same notes give the same orders: no clock, no I/O, nothing global. The
-// interface is in api.go, what parts hold in parts.go, inboxes in loop.go, the reasons in docs/design.md.
-//
-// Parts: Director (custody, timers, list), a host actor for each host (health, capacity), placer (the block
-// tree and the paper's run), gate (levels, further tries), publisher (what stands, what is wanted, budget).
+// Package logic holds every decision of vetchwood, and they are all in this file. A program calls
+// New(seed, facts) at each start and Handle(now, notes) whenever something happened; orders take effect as
+// they come. The same notes give the same orders: no clock, no I/O, nothing global. The interface is in
+// api.go, what parts hold in parts.go, inboxes and look-ups in loop.go, the reasons in docs/design.md. Parts:
+// Director (loop, list), a host actor for each host (health, capacity), placer (the block tree and the paper's
+// run), gate (levels, further tries), publisher (what stands, what is wanted, budget).
 package logic
 
 import (
@@ -56,11 +54,11 @@
 )
 
 func derive(f Facts) bounds {
-	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, probes: f.MayProbe, advice: f.GoneIsAdvice,
-		listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines,
+	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, probes: f.MayProbe,
+		advice: f.GoneIsAdvice, listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines,
 		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, messages: f.MessageLimit, span: f.MessageSpan,
-		levels: f.Levels, reportEvery: max(1, f.ReportEvery),
-		warmFor: f.WarmAfter, settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
+		levels: f.Levels, reportEvery: max(1, f.ReportEvery), warmFor: f.WarmAfter,
+		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
 	b.freshRoom = min(freshRoom, max(0.05, f.ColdFrom*f.TipMultiple/3))
 	if b.standby = standbyPart; f.Pick == PickPair {
@@ -226,6 +224,8 @@
 // judge finds a host that fails most of its tries, or one into which calls go and out of which nothing comes.
 // One that turns calls away while it reports full work is overloaded, not sick: taking it out would pass its
 // load on to the next. What all lose is no sign against one, and silence is one only while others are heard.
+// Where the fleet has room a jammed host rests: in a large one no proxy meets it often enough to avoid it by
+// itself, and the calls that go on coming keep it jammed. It would harm where the load itself is the cause.
 func (h *host) judge(reported Millis) {
 	if h.unproven && h.entry.State == Up && h.now >= h.probeAt {
 		h.order(Ping{h.id})
@@ -270,20 +270,17 @@
 }
 
 func (h *host) tell() {
-	ended := h.ended.read(h.now, healthMemory)
+	ended, listed := h.ended.read(h.now, healthMemory), h.known && h.entry.State == Up
 	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
 		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1, busy: h.busy, void: h.void,
-		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1)}
+		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1), cold: h.now < h.coldUntil,
+		rests: h.now < h.restUntil, unproven: listed && h.unproven}
 	s.spent = h.spent.read(h.now, healthMemory) / max(0.1, ended*(1-s.loss))
-	up := h.known && h.entry.State == Up
-	s.unproven = up && h.unproven
-	up = up && !h.unproven
+	up := listed && !h.unproven
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
-	s.cold = h.now < h.coldUntil
-	s.leaves = h.known && h.entry.State != Up && !up && (h.entry.State == Draining || !h.rules.advice)
-	s.rests = h.now < h.restUntil
+	s.leaves = h.known && !listed && !up && (h.entry.State == Draining || !h.rules.advice)
 	s.usable, s.ill, s.trial = up && h.state == serving, up && h.state != serving, up && h.state == onTrial
 	if h.rules.listed && h.entry.Weight > 0 {
 		s.prior = h.entry.Weight
@@ -367,19 +364,14 @@
 }
 
 func (p *placer) weigh() {
-	shares := 0.0
 	// What hosts show is set against what they were listed for, so that the unit of pressure drops out.
-	var ratios, times []float64
+	ratio, shown := p.median(func(s *seat) float64 { return s.weighed / s.prior })
+	usual, _ := p.median(func(s *seat) float64 { return s.spent })
 	for _, s := range p.seats.all() {
-		if s.aside, s.load = 0, 0; s.weighed > 0 && s.in {
-			ratios = append(ratios, s.weighed/s.prior)
-		}
-		if s.spent > 0 && s.in {
-			times = append(times, s.spent)
-		}
+		s.aside, s.load = 0, 0
 	}
-	usual := middle(times)
 	p.total = 0
+	shares := 0.0
 	for _, pc := range p.own.all() {
 		// Reports of a slice just given are still to come: until then it counts as the others do.
 		from := max(pc.since, p.firstHeat-p.rules.reportEvery)
@@ -402,8 +394,8 @@
 	for _, s := range p.seats.all() {
 		if s.share = 0; s.in {
 			s.share = s.prior
-			if s.weighed > 0 && len(ratios) > 2 {
-				s.share *= min(2.5, max(0.1, s.weighed/s.prior/middle(ratios)))
+			if s.weighed > 0 && shown > 2 {
+				s.share *= min(2.5, max(0.1, s.weighed/s.prior/ratio))
 			}
 			if s.void && s.spent > usual {
 				s.share *= max(0.1, usual/s.spent)
@@ -596,10 +588,8 @@
 func (p *placer) lay(urgent bool) {
 	nth, every := 0, max(1, p.own.len()/trialSlices)
 	for id, s := range p.seats.all() {
-		for i, t := range p.own.keys {
-			if s.trial && i%every == nth%every {
-				p.own.get(t).spare = id
-			}
+		for i := nth % every; s.trial && i < p.own.len(); i += every {
+			p.own.get(p.own.keys[i]).spare = id
 		}
 		nth += int(bit(s.trial, 0))
 	}
@@ -808,8 +798,7 @@
 	return lines
 }
 
-// due says whether to write now. Ordinary changes gather and leave a
-// part of the messages a proxy may get to removals.
+// due says whether to write now. Ordinary changes gather, and leave a part of a proxy's messages to removals.
 func (p *publisher) due() bool {
 	rebind, reopen, pressed, urgent := false, false, false, false
 	for _, s := range p.streams.all() {
@@ -839,16 +828,12 @@
 		most = float64(p.rules.messages)
 		gap = max(gap, p.rules.span/Millis(most*ordinaryPart))
 	}
-	written := float64(len(p.sent))
-	hurry := p.rules.hurry
+	written, hurry := float64(len(p.sent)), p.rules.hurry
 	if !masks {
 		hurry = max(hurry, heads/2)
-		if !pressed {
-			hurry = max(hurry, heads)
-		}
 	}
 	if !masks && !pressed {
-		most *= urgentPart // the last messages are for what the rules ask
+		hurry, most = max(hurry, heads), most*urgentPart // the last messages are for what the rules ask
 	}
 	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-hurry) >= hurry {
 		return true
@@ -877,19 +862,11 @@
 		return some
 	}
 	write := func(bare bool, part float64) {
-		var order []wanted
-		for t, w := range p.wants.all() {
-			if p.bare(t, 0) == bare {
-				order = append(order, w)
-			}
+		first := func(w wanted) float64 { return w.gain }
+		if bare {
+			first = func(w wanted) float64 { return -float64(w.at) }
 		}
-		slices.SortStableFunc(order, func(a, b wanted) int {
-			if bare {
-				return cmp.Compare(a.at, b.at)
-			}
-			return cmp.Compare(b.gain, a.gain)
-		})
-		for _, w := range order {
+		for _, w := range p.wantedBy(bare, first) {
 			t, lines := w.table, w.lines
 			if held := p.stands.get(t); bare && len(held) > 0 && p.rules.sliced && !p.rules.oneOwner {
 				// Just what calls need, where many tables are bare at once: what goes and the standby can wait.
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -348,12 +348,18 @@
 	}
 }
 
-// middle is the median, 0 of none.
-func middle(of []float64) float64 {
-	if slices.Sort(of); len(of) == 0 {
-		return 0
+// median is that of what hosts in use show, and how many show anything.
+func (p *placer) median(of func(*seat) float64) (float64, int) {
+	var all []float64
+	for _, s := range p.seats.all() {
+		if x := of(s); s.in && x > 0 {
+			all = append(all, x)
+		}
+	}
+	if slices.Sort(all); len(all) == 0 {
+		return 0, 0
 	}
-	return of[len(of)/2]
+	return all[len(all)/2], len(all)
 }
 
 // stale says whether a host's mask is not known to be as it should be.
@@ -457,3 +463,14 @@
 	}
 	return sum
 }
+
+// wantedBy are the wanted tables that are bare now, or the others, in an order.
+func (p *publisher) wantedBy(bare bool, most func(wanted) float64) (order []wanted) {
+	for t, w := range p.wants.all() {
+		if p.bare(t, 0) == bare {
+			order = append(order, w)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b wanted) int { return cmp.Compare(most(b), most(a)) })
+	return order
+}
