--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,7 +2,7 @@
 // New(seed, facts) at each start and Handle(now, notes) whenever something happened; orders take effect as
 // they come. The same notes give the same orders: no clock, no I/O, nothing global. The interface is in
 // api.go, what parts hold in parts.go, inboxes and look-ups in loop.go, the reasons in docs/design.md. Parts:
-// Director (loop, list), a host actor for each host (health, capacity), placer (the block tree and the paper's
+// Director (loop, list), a host actor for each host (health, capacity), placer (the block tree, the paper's
 // run), gate (levels, further tries), publisher (what stands, what is wanted, budget).
 package logic
 
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -395,7 +395,9 @@
 
 // bare says whether a table has nothing to offer once all hosts are out that should be, and one more.
 func (p *publisher) bare(t TableID, but HostID) bool {
-	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool { return l.host != but && p.doors.get(l.host) == opened })
+	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool {
+		return l.host != but && p.doors.get(l.host) == opened
+	})
 }
 
 // stands is where a slice's calls go: what is only planned waits for the channel, and may for long at size.
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -76,6 +76,10 @@
 			s.facts.OneOwner = true
 		case "ask":
 			s.facts.AsksForList = true
+		case "probe":
+			s.facts.MayProbe = true
+		case "pair":
+			s.facts.Pick = PickPair
 		case "advice":
 			s.facts.GoneIsAdvice = true
 		case "keyed":
@@ -147,7 +151,7 @@
 			}
 			s.feeds[words[0]] = append(s.feeds[words[0]], n)
 		}
-	case "met": // host:ended/lost/busy[/rate]; none: nothing is heard of the host
+	case "met": // host:ended/lost/busy[/rate[/spent]]; none: nothing is heard of the host
 		id, what, _ := strings.Cut(rest[0], ":")
 		if s.feeds["met"+id] = nil; what != "none" {
 			f := strings.Split(what, "/")
@@ -161,8 +165,13 @@
 				rate := number(f[3])
 				m.Load.Rate = &rate
 			}
+			if len(f) > 4 {
+				m.Spent = Millis(number(f[4]))
+			}
 			s.feeds["met"+id] = []any{m}
 		}
+	case "probed": // host, good or bad
+		s.notes = append(s.notes, Probed{Host: HostID(number(rest[0])), Spent: 5, Good: rest[1] == "good"})
 	case "deaf": // proxies own up to nothing any more
 		s.deaf = true
 	case "run":
@@ -360,8 +369,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &stage{t: t, tables: map[TableID]map[HostID]float64{}, masked: map[HostID]bool{}, levels: map[string]Throttle{},
-		bound: map[ProxyID]TableID{}, joined: map[ProxyID]bool{}, acks: map[Millis][]Applied{},
+	s := &stage{t: t, tables: map[TableID]map[HostID]float64{}, masked: map[HostID]bool{},
+		levels: map[string]Throttle{}, bound: map[ProxyID]TableID{}, joined: map[ProxyID]bool{}, acks: map[Millis][]Applied{},
 		feeds: map[string][]any{}, every: 500, now: 100000}
 	var all []Order
 	for i, text := range strings.Split(string(text), "\n") {
