--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -45,11 +45,17 @@
 	return f
 }
 
-// pairs reads a:b words.
+// pairs reads a:b and a-z:b words.
 func pairs(words []string) (out [][2]float64) {
 	for _, w := range words {
 		a, b, _ := strings.Cut(w, ":")
-		out = append(out, [2]float64{number(a), number(b)})
+		first, last, many := strings.Cut(a, "-")
+		if !many {
+			last = first
+		}
+		for n := number(first); n <= number(last); n++ {
+			out = append(out, [2]float64{n, number(b)})
+		}
 	}
 	return out
 }
@@ -78,8 +84,6 @@
 			s.facts.AsksForList = true
 		case "probe":
 			s.facts.MayProbe = true
-		case "pair":
-			s.facts.Pick = PickPair
 		case "advice":
 			s.facts.GoneIsAdvice = true
 		case "keyed":
@@ -117,6 +121,17 @@
 			r.Entries = append(r.Entries, e)
 		}
 		s.notes = append(s.notes, r)
+	case "even": // hosts 1 to this, slices in equal blocks, each with the next host as its standby
+		n := int(number(rest[0]))
+		var all []string
+		for i := range n {
+			all = append(all, fmt.Sprint(i+1, "=up"))
+		}
+		s.do(append([]string{"disk"}, all...))
+		for t := range s.facts.Slices {
+			h := t * n / s.facts.Slices
+			s.do([]string{"give", fmt.Sprint(t), fmt.Sprint(h+1, ":1"), fmt.Sprint((h+1)%n+1, ":0.06")})
+		}
 	case "refused":
 		s.notes = append(s.notes, Roster{Kind: AskFailed})
 	case "give":
@@ -152,23 +167,9 @@
 			s.feeds[words[0]] = append(s.feeds[words[0]], n)
 		}
 	case "met": // host:ended/lost/busy[/rate[/spent]]; none: nothing is heard of the host
-		id, what, _ := strings.Cut(rest[0], ":")
-		if s.feeds["met"+id] = nil; what != "none" {
-			f := strings.Split(what, "/")
-			m := Met{Host: HostID(number(id)), Over: s.every, Spent: 200}
-			m.Ended, m.Lost = int(number(f[0])), int(number(f[1]))
-			if len(f) > 2 {
-				busy := number(f[2])
-				m.Load.Busy = &busy
-			}
-			if len(f) > 3 {
-				rate := number(f[3])
-				m.Load.Rate = &rate
-			}
-			if len(f) > 4 {
-				m.Spent = Millis(number(f[4]))
-			}
-			s.feeds["met"+id] = []any{m}
+		ids, what, _ := strings.Cut(rest[0], ":")
+		for _, p := range pairs([]string{ids + ":0"}) {
+			s.met(HostID(p[0]), what)
 		}
 	case "probed": // host, good or bad
 		s.notes = append(s.notes, Probed{Host: HostID(number(rest[0])), Spent: 5, Good: rest[1] == "good"})
@@ -188,12 +189,35 @@
 	case "mark":
 		s.moved, s.orders, s.sent = 0, nil, nil
 	case "expect":
-		s.expect(rest)
+		for _, e := range strings.Split(strings.Join(rest, " "), ", ") {
+			s.expect(strings.Fields(e))
+		}
 	default:
 		panic("no such word: " + words[0])
 	}
 }
 
+func (s *stage) met(id HostID, what string) {
+	name := fmt.Sprint("met", id)
+	if s.feeds[name] = nil; what != "none" {
+		f := strings.Split(what, "/")
+		m := Met{Host: id, Over: s.every, Spent: 200}
+		m.Ended, m.Lost = int(number(f[0])), int(number(f[1]))
+		if len(f) > 2 {
+			busy := number(f[2])
+			m.Load.Busy = &busy
+		}
+		if len(f) > 3 {
+			rate := number(f[3])
+			m.Load.Rate = &rate
+		}
+		if len(f) > 4 {
+			m.Spent = Millis(number(f[4]))
+		}
+		s.feeds[name] = []any{m}
+	}
+}
+
 func (s *stage) tick() {
 	s.due = slices.DeleteFunc(s.due, func(at Millis) bool {
 		if at <= s.now {
@@ -374,11 +398,13 @@
 		feeds: map[string][]any{}, every: 500, now: 100000}
 	var all []Order
 	for i, text := range strings.Split(string(text), "\n") {
-		text, _, _ = strings.Cut(text, "#")
-		if words := strings.Fields(text); len(words) > 0 {
-			s.where = fmt.Sprintf("%s:%d", filepath.Base(path), i+1)
-			s.do(words)
-			all = append(all, s.orders...)
+		text, _, _ := strings.Cut(text, "#")
+		s.where = fmt.Sprintf("%s:%d", filepath.Base(path), i+1)
+		for _, step := range strings.Split(text, ";") {
+			if words := strings.Fields(step); len(words) > 0 {
+				s.do(words)
+				all = append(all, s.orders...)
+			}
 		}
 	}
 	return all
