--- a/logic/logic.go
+++ b/logic/logic.go
@@ -390,7 +390,9 @@
 			p.total += pc.weight * p.rules.standby
 		}
 	}
-	p.mean = p.total / float64(max(1, p.own.len()))
+	if p.total > 0 { // with no slices yet those to come count as equal, not as nothing
+		p.mean = p.total / float64(p.own.len())
+	}
 	for _, s := range p.seats.all() {
 		if s.share = 0; s.in {
 			s.share = s.prior
@@ -411,7 +413,7 @@
 	}
 	for _, s := range p.seats.all() {
 		s.share *= p.total / max(shares, 1e-9)
-		if s.bears = s.share * p.most(); s.busy > 0 && s.busy < roomy && s.spent < usual*3/2 {
+		if s.bears = s.share * p.most(); s.busy > 0 && s.busy < roomy && !s.cold && s.spent < usual*3/2 {
 			// A reckoned share is rough, and among many hosts some is always far off: one that has room to spare,
 			// and answers as fast as others, is not over-worked whatever was reckoned.
 			s.bears = max(s.bears, s.load*roomy/s.busy)
@@ -482,7 +484,7 @@
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
 			if next := p.seats.get(pc.spare); next != nil && next.in && !next.fresh && (s == nil || !s.in) &&
-				len(pc.parts) == 1 && next.load+load <= next.bears {
+				len(pc.parts) == 1 && next.load+load <= next.share*p.most() {
 				// Its calls go to the standby already, and find keys warm there: a move now would cost both again.
 				s, l.host = next, pc.spare
 			}
@@ -546,7 +548,7 @@
 	for _, l := range leaves {
 		home.load += l.load
 	}
-	for s := p.roomiest(home); home.load > home.bears && len(leaves) > 0; s = p.roomiest(home) {
+	for s := p.roomiest(home); home.load > home.share*p.most() && len(leaves) > 0; s = p.roomiest(home) {
 		if s == nil || s.share <= s.load {
 			break
 		}
@@ -555,7 +557,7 @@
 		leaves = leaves[1:]
 		room := s.share - s.load
 		if l.load < p.total*chunk {
-			room = s.bears - s.load
+			room = s.share*p.most() - s.load
 		}
 		if l.load > room {
 			if halves := p.split(l, s.share); halves != nil {
