--- a/logic/logic.go
+++ b/logic/logic.go
@@ -673,7 +673,7 @@
 			score += 100
 		}
 		if !s.cold {
-			score += 200 // it may get all of the slice at once
+			score++ // it may get all of the slice at once
 		}
 		if s.in && !s.fresh && !pc.parts.holds(id) && (best == 0 || score > most) {
 			best, most = id, score
