--- a/logic/logic.go
+++ b/logic/logic.go
@@ -170,7 +170,7 @@
 		}
 		if h.known {
 			h.enter(serving)
-			h.rate, h.press, h.busy, h.voidSince = sum{}, sum{}, 0, 0
+			h.rate, h.press, h.good, h.used, h.busy, h.voidSince = sum{}, sum{}, sum{}, sum{}, 0, 0
 		}
 	}
 	h.entry, h.known = e, true
