--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,6 +15,7 @@
 const (
 	maximum     = 1.1          // imbalance tolerated, from the paper
 	chunk       = 1.0 / 40     // of the load: below it a leaf need only not overload
+	chunkPart   = 0.3          // of a host's share: the same where hosts are so many that a share is less
 	roomy       = 0.6          // busy share below which a host is not over-worked, whatever was reckoned
 	headroom    = 0.8          // of what a host can do: while its fullest has so much, the fleet bears imbalance
 	checkEvery  = Millis(1000) // two checks past the maximum call for a rerun
@@ -556,7 +557,7 @@
 		l := leaves[0]
 		leaves = leaves[1:]
 		room := s.share - s.load
-		if l.load < p.total*chunk {
+		if l.load < min(p.total*chunk, s.share*chunkPart) {
 			room = s.share*p.most() - s.load
 		}
 		if l.load > room {
