--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, messages: f.MessageLimit, span: f.MessageSpan,
 		levels: f.Levels, reportEvery: max(1, f.ReportEvery), warmFor: f.WarmAfter,
 		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
+	b.health = max(healthMemory, b.reportEvery*5/4) // shorter, it would see but the last report
 	// Quarter room is right only while cold keys and chance can't take it past what tips a cold host.
 	b.freshRoom = min(freshRoom, max(0.05, f.ColdFrom*f.TipMultiple/3))
 	if b.standby = standbyPart; f.Pick == PickPair {
@@ -178,18 +179,18 @@
 }
 
 func (h *host) met(m Met) {
-	h.ended.add(h.now, healthMemory, float64(m.Ended))
-	h.lost.add(h.now, healthMemory, float64(m.Lost))
+	h.ended.add(h.now, h.rules.health, float64(m.Ended))
+	h.lost.add(h.now, h.rules.health, float64(m.Lost))
 	h.unproven = h.unproven && m.Ended == m.Lost
-	h.spent.add(h.now, healthMemory, float64(m.Spent)*float64(m.Ended-m.Lost))
+	h.spent.add(h.now, h.rules.health, float64(m.Spent)*float64(m.Ended-m.Lost))
 	if h.lastLine > 0 && h.now > h.lastLine {
 		h.gap += (h.now - h.lastLine - h.gap) * 0.2
 	}
 	h.lastLine = h.now
 	rate := 1000 * float64(m.Ended-m.Lost) / max(1, float64(m.Over))
 	// Read as reports come in, so that the rate doesn't ripple with them.
-	part := (1 - math.Exp2(-float64(h.rules.reportEvery/healthMemory))) * 1000 / float64(h.rules.reportEvery)
-	h.flow = h.ended.read(h.now, healthMemory) * part
+	part := (1 - math.Exp2(-float64(h.rules.reportEvery/h.rules.health))) * 1000 / float64(h.rules.reportEvery)
+	h.flow = h.ended.read(h.now, h.rules.health) * part
 	busy, press := m.Load.Busy, float64(m.Spent)*rate/1000
 	if busy != nil {
 		// A host that always has a call of ours in hand is not idle: such reports are void, or they would draw
@@ -206,7 +207,7 @@
 		h.busy += (*busy - h.busy) * 0.4 // one report is noisy
 		// Little is learnt while work is wasted, or a jam would teach at once that the host can do nothing.
 		trust := 1 - 0.7*float64(bit(m.Lost*3 >= m.Ended, 0))
-		h.good.add(h.now, loadMemory, trust*(h.flow-h.lost.read(h.now, healthMemory)*part))
+		h.good.add(h.now, loadMemory, trust*(h.flow-h.lost.read(h.now, h.rules.health)*part))
 		h.used.add(h.now, loadMemory, trust*max(0.05, *busy))
 		press = *busy
 	} else if m.Load.InHand != nil {
@@ -233,9 +234,9 @@
 		h.probeEvery = min(4*checkEvery, max(checkEvery, 2*h.probeEvery))
 		h.probeAt = h.now + h.probeEvery
 	}
-	ended, lost := h.ended.read(h.now, healthMemory), h.lost.read(h.now, healthMemory)
+	ended, lost := h.ended.read(h.now, h.rules.health), h.lost.read(h.now, h.rules.health)
 	bad := ended > 1.5 && lost > ended*(1+h.around.loss)/2
-	jam := bad || ended > 1.5 && h.spent.read(h.now, healthMemory) > (ended-lost)*float64(h.rules.slo)
+	jam := bad || ended > 1.5 && h.spent.read(h.now, h.rules.health) > (ended-lost)*float64(h.rules.slo)
 	bad = bad && !(h.busy > full && ended-lost > 0.5)
 	if jam && h.around.loss < 0.3 && h.around.busy < strain && h.now > h.restUntil+restFor {
 		h.restUntil = h.now + restFor
@@ -271,12 +272,12 @@
 }
 
 func (h *host) tell() {
-	ended, listed := h.ended.read(h.now, healthMemory), h.known && h.entry.State == Up
+	ended, listed := h.ended.read(h.now, h.rules.health), h.known && h.entry.State == Up
 	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
 		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1, busy: h.busy, void: h.void,
-		loss: h.lost.read(h.now, healthMemory) / max(ended, 0.1), cold: h.now < h.coldUntil,
+		loss: h.lost.read(h.now, h.rules.health) / max(ended, 0.1), cold: h.now < h.coldUntil,
 		rests: h.now < h.restUntil, unproven: listed && h.unproven}
-	s.spent = h.spent.read(h.now, healthMemory) / max(0.1, ended*(1-s.loss))
+	s.spent = h.spent.read(h.now, h.rules.health) / max(0.1, ended*(1-s.loss))
 	up := listed && !h.unproven
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
@@ -823,10 +824,7 @@
 	p.sent = slices.DeleteFunc(p.sent, func(t Millis) bool { return p.now-t > p.rules.span+gather })
 	// Heads are paid for each proxy: a message that carries little would fill the channel of a large fleet.
 	heads := 4 * Millis(float64(p.streams.len())*(p.rules.head+1)/p.rules.pace)
-	last, most, gap := Millis(math.Inf(-1)), math.Inf(1), max(gather, 2*heads)
-	if n := len(p.sent); n > 0 {
-		last = p.sent[n-1]
-	}
+	last, most, gap := p.lastSent(), math.Inf(1), max(gather, 2*heads)
 	if p.rules.messages > 0 {
 		most = float64(p.rules.messages)
 		gap = max(gap, p.rules.span/Millis(most*ordinaryPart))
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -476,3 +476,11 @@
 	slices.SortStableFunc(order, func(a, b wanted) int { return cmp.Compare(most(b), most(a)) })
 	return order
 }
+
+// lastSent is when something was written last.
+func (p *publisher) lastSent() Millis {
+	if n := len(p.sent); n > 0 {
+		return p.sent[n-1]
+	}
+	return Millis(math.Inf(-1))
+}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -12,7 +12,7 @@
 	ordinary                         float64 // part of the queue for what doesn't press
 	messages                         int     // most messages to a proxy within span; 0: any
 	span, hurry, settle, reportEvery Millis
-	transit, slo, warmFor            Millis
+	transit, slo, warmFor, health    Millis
 	levels                           Valve
 	ways                             []int     // further tries that can't take effect twice, by route
 	cheap                            []RouteID // routes by importance, least first
