--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	restFor = Millis(2000) // a jammed host is left alone for so long, and then as long at least in use
 
 	full      = 0.8 // busy share from which a host that turns calls away has too much to do, not a fault
-	strain    = 0.9 // tries for each that the fleet can do: the gate steers to it
+	strain    = 0.8 // tries for each that the fleet can do: the gate steers to it
 	idle      = 0.7 // busy share of the fleet below which nothing is throttled
 	levelEase = 0.1 // a second, in routes
 	levelLow  = 0.05
