--- a/logic/logic.go
+++ b/logic/logic.go
@@ -274,7 +274,8 @@
 func (h *host) tell() {
 	ended, listed := h.ended.read(h.now, h.rules.health), h.known && h.entry.State == Up
 	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
-		freshLeft: max(0, h.freshUntil-h.now), flow: min(h.flow, 2*ended), prior: 1, busy: h.busy, void: h.void,
+		grown: 1 - (1-h.rules.freshRoom)*float64(max(0, h.freshUntil-h.now)/freshFor), prior: 1,
+		flow: min(h.flow, 2*ended), busy: h.busy, void: h.void,
 		loss: h.lost.read(h.now, h.rules.health) / max(ended, 0.1), cold: h.now < h.coldUntil,
 		rests: h.now < h.restUntil, unproven: listed && h.unproven}
 	s.spent = h.spent.read(h.now, h.rules.health) / max(0.1, ended*(1-s.loss))
@@ -407,8 +408,7 @@
 			if s.cold {
 				// Its room grows as it warms. The little work it did tells too little for more than its listed share,
 				// and a part of an overload would be more than it can bear with cold keys.
-				grown := p.rules.freshRoom + (1-p.rules.freshRoom)*max(0, 1-float64(s.freshLeft/freshFor))
-				s.share = min(s.share, s.prior) * grown / max(1, p.around.pressure*p.around.pressure)
+				s.share = min(s.share, s.prior) * s.grown / max(1, p.around.pressure*p.around.pressure)
 			}
 			shares += s.share
 		}
@@ -447,10 +447,6 @@
 // check is the periodic look: past the maximum twice in a row, the run is played again, and its outcome is
 // installed only if it is worth the cold keys.
 func (p *placer) check() {
-	if p.now < p.next {
-		return
-	}
-	p.next = p.now + checkEvery
 	p.weigh()
 	worst, before := p.imbalance()
 	if p.past++; p.firstHeat == 0 || worst <= 1 {
@@ -687,13 +683,13 @@
 // weigh compares the calls that come with what hosts can do and lets in the part that fits. Tries would not
 // do: they end late, and those of a jam would throttle what comes after it.
 func (g *gate) weigh() {
-	if g.now < g.next {
-		return
-	}
-	g.next = g.now + checkEvery
 	able, tried, lost, busy, of := 0.0, 0.0, 0.0, 0.0, 0.0
+	each := g.usualAble()
 	for _, s := range g.seats.all() {
 		if s.usable {
+			if s.able == 0 { // it has yet to show what it can do, and many such come at once in a release
+				able += each * s.prior * s.grown / 2
+			}
 			able, tried, lost = able+s.able, tried+s.flow, lost+s.loss*s.flow
 			if s.busy > 0 {
 				busy, of = busy+s.busy*s.able, of+s.able
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -249,7 +249,10 @@
 	case Left:
 		g.joined--
 	case Due:
-		g.weigh()
+		if g.now >= g.next {
+			g.next = g.now + checkEvery
+			g.weigh()
+		}
 	}
 }
 
@@ -298,7 +301,10 @@
 	case Heat:
 		p.hear(n)
 	case Due:
-		p.check()
+		if p.now >= p.next {
+			p.next = p.now + checkEvery
+			p.check()
+		}
 	case settleNow:
 		p.settle()
 	}
@@ -496,3 +502,17 @@
 	}
 	return Millis(math.Inf(-1))
 }
+
+// usualAble is the median of what hosts can do for each unit of listed weight, of those that have shown it.
+func (g *gate) usualAble() float64 {
+	var all []float64
+	for _, s := range g.seats.all() {
+		if s.usable && s.able > 0 {
+			all = append(all, s.able/s.prior)
+		}
+	}
+	if slices.Sort(all); len(all) == 0 {
+		return 0
+	}
+	return all[len(all)/2]
+}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -41,7 +41,7 @@
 		zone                 ZoneID
 		cell                 CellID
 		from                 *host
-		freshLeft            Millis
+		grown                float64 // part of its room that a fresh host has by now
 	}
 	fleet    struct{ pressure, loss, busy float64 } // demand over capacity; share of tries lost; busy share
 	expected struct{ rate float64 }                 // calls a second that the placer has laid on a host
