--- a/logic/loop.go
+++ b/logic/loop.go
@@ -362,10 +362,15 @@
 			all = append(all, x)
 		}
 	}
+	return middle(all), len(all)
+}
+
+// middle is the median, 0 of none.
+func middle(all []float64) float64 {
 	if slices.Sort(all); len(all) == 0 {
-		return 0, 0
+		return 0
 	}
-	return all[len(all)/2], len(all)
+	return all[len(all)/2]
 }
 
 // stale says whether a host's mask is not known to be as it should be.
@@ -511,8 +516,5 @@
 			all = append(all, s.able/s.prior)
 		}
 	}
-	if slices.Sort(all); len(all) == 0 {
-		return 0
-	}
-	return all[len(all)/2]
+	return middle(all)
 }
