--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,523 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"vetchwood/internal/channel"
+	"vetchwood/internal/sums"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// Core is one director's.
+type Core struct {
+	svc     Service
+	module  *logic.Director
+	names   *names
+	line    tables.Line
+	world   *world      // as ordered
+	stored  *world      // the newest that would outlive a crash
+	opening tables.Step // the first of this start
+	unsaved []*step
+	channel *channel.Channel
+	intake  *sums.Intake
+	streams map[logic.ProxyID]*stream
+	ids     []logic.ProxyID // joined, in order
+	waits   map[Ticket]logic.ProxyID
+	kept    map[tables.Tag]*tables.Document
+	oldest  []tables.Tag
+	timers  []timer
+	routes  map[string]logic.RouteID
+	listed  map[tables.Address]bool
+	swept   logic.Millis
+	notes   []any
+	out     []any
+	figures Figures
+}
+
+type timer struct {
+	at logic.Millis
+	id logic.TimerID
+}
+
+// step is a world on its way to the store, with the messages that wait for it.
+type step struct {
+	world    *world
+	messages []channel.Message
+}
+
+// letter is the body of a message.
+type letter struct {
+	doc     *tables.Document
+	serial  logic.SerialID
+	stamped bool
+	at      logic.Millis // of the order
+}
+
+// stream is a proxy that polls.
+type stream struct {
+	name    string
+	zone    string
+	doc     *tables.Document // what it may be told by now
+	ticket  Ticket           // the poll that waits; 0: none
+	until   logic.Millis
+	delta   bool
+	base    *tables.Document // what it holds, where that is known
+	owed    []letter         // that have left the channel and were not owned up to
+	last    logic.Millis
+	reports string // key of the last one
+}
+
+// New is a director's start. What it returns first must be carried out before the first Handle.
+func New(seed uint64, now logic.Millis, svc Service, saved Saved) (*Core, []any) {
+	f := svc.Facts
+	c := &Core{svc: svc, module: logic.New(seed, f), names: newNames(svc.Zones, f.Proxies, &saved), line: saved.Line,
+		channel: channel.New(f.LinesPerSecond, f.MessageSpan),
+		intake:  sums.New(f.Slices > 0, f.ReportEvery, f.IntakePerSecond), streams: map[logic.ProxyID]*stream{},
+		waits: map[Ticket]logic.ProxyID{}, kept: map[tables.Tag]*tables.Document{}, routes: map[string]logic.RouteID{},
+		listed: map[tables.Address]bool{}}
+	for i, r := range svc.Routes {
+		c.routes[r.Name] = logic.RouteID(i)
+	}
+	w := &world{step: saved.Step, at: saved.At, tables: saved.Tables, masked: saved.Masked, levels: saved.Levels,
+		bound: map[logic.ProxyID][]logic.TableID{}, carried: saved.Carried, docs: map[string]*tables.Document{}}
+	if w.masked == nil {
+		w.masked = map[tables.Address]bool{}
+	}
+	for r := len(w.levels); r < len(svc.Routes); r++ {
+		w.levels = append(w.levels, svc.Routes[r].Level)
+	}
+	w.levels = w.levels[:len(svc.Routes)]
+	c.world, c.stored = w, w
+	// Opening state is a step of its own, so that nothing is told that is not stored.
+	d := c.draft(float64(now))
+	d.change.Levels = d.is.levels
+	if f.Slices > 0 {
+		for t := range logic.TableID(f.Slices) {
+			if d.is.tables[t] == nil {
+				d.table(t)
+			}
+		}
+		for t := range d.is.tables {
+			if int(t) >= f.Slices {
+				if d.change.Tables == nil {
+					d.change.Tables = map[logic.TableID]*tables.Table{}
+				}
+				delete(d.is.tables, t)
+				d.change.Tables[t] = nil
+			}
+		}
+	} else {
+		d.carry(&saved)
+	}
+	c.notes = append(c.notes, logic.Roster{Kind: logic.FromDisk, Entries: c.entries(saved.List, now)})
+	for t := range logic.TableID(f.Slices) {
+		c.notes = append(c.notes, logic.Custody{Slice: t, Given: true})
+		table := d.is.tables[t]
+		for _, a := range slices.Sorted(maps.Keys(table.Lines)) {
+			if k, known := c.names.hosts[a]; known {
+				c.notes = append(c.notes, logic.OnRecord{Slice: t, Host: k.Number, Weight: table.Lines[a]})
+			}
+		}
+	}
+	c.out = nil
+	d.change.Known = c.names.hosts
+	if f.Slices > 0 && saved.Step > 0 {
+		c.keep(c.document(w, 0)) // most proxies hold it, and need no more than the difference
+	}
+	c.world, c.opening = d.is, d.is.step
+	c.unsaved = append(c.unsaved, &step{world: d.is})
+	c.out = append(c.out, Persist{d.change})
+	return c, c.take()
+}
+
+// carry keeps what proxies with tables of their own held before the start: the module lays new ones from the
+// same numbers, and a proxy goes by the old until it is bound anew.
+func (d *draft) carry(saved *Saved) {
+	d.is.carried = map[logic.ProxyID]map[string]*tables.Table{}
+	for id, old := range saved.Carried {
+		d.is.carried[id] = maps.Clone(old)
+	}
+	for id, by := range saved.Bound {
+		for r, t := range by {
+			if table := saved.Tables[t]; table != nil && r < len(d.c.svc.Routes) {
+				if d.is.carried[id] == nil {
+					d.is.carried[id] = map[string]*tables.Table{}
+				}
+				d.is.carried[id][d.c.svc.Routes[r].Name] = table
+			}
+		}
+	}
+	d.change.Carried, d.change.Bound = d.is.carried, map[logic.ProxyID][]logic.TableID{}
+	for id := range saved.Bound {
+		d.change.Bound[id] = nil
+	}
+	d.change.Tables = map[logic.TableID]*tables.Table{}
+	for t := range saved.Tables {
+		d.change.Tables[t] = nil
+	}
+	d.is.tables = map[logic.TableID]*tables.Table{}
+}
+
+func (c *Core) say(e Event) { c.out = append(c.out, e) }
+
+func (c *Core) take() []any {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// Handle is all that happened up to a time; what it returns is to be carried out in order.
+func (c *Core) Handle(now logic.Millis, in []any) []any {
+	for _, i := range in {
+		switch i := i.(type) {
+		case Poll:
+			c.poll(now, i)
+		case Broke:
+			if id, waits := c.waits[i.Ticket]; waits {
+				c.leave(now, id, "broken")
+			}
+		case Report:
+			c.report(now, i)
+		case List:
+			c.list(now, i.Hosts)
+		case Stored:
+			c.settle(now, i.Step)
+		case Probed:
+			if k, known := c.names.hosts[i.Address]; known {
+				c.notes = append(c.notes, logic.Probed{Host: k.Number, Spent: i.Spent, Good: i.Good, Load: i.Load})
+			}
+		}
+	}
+	for _, m := range c.channel.Left(now) {
+		c.arrive(now, m)
+	}
+	c.sweep(now)
+	c.notes = append(c.notes, c.intake.Due(now)...)
+	slices.SortStableFunc(c.timers, func(a, b timer) int { return cmp.Compare(a.at, b.at) })
+	for len(c.timers) > 0 && c.timers[0].at <= now {
+		c.notes = append(c.notes, logic.Due{Timer: c.timers[0].id})
+		c.timers = c.timers[1:]
+	}
+	if len(c.notes) > 0 {
+		notes := c.notes
+		c.notes = nil
+		c.carryOut(now, c.module.Handle(now, notes))
+	}
+	return c.take()
+}
+
+// Wake is when Handle must be called again at the latest.
+func (c *Core) Wake() logic.Millis {
+	at := c.intake.Next()
+	for _, t := range c.timers {
+		at = min(at, t.at)
+	}
+	if next, waits := c.channel.Next(); waits {
+		at = min(at, next)
+	}
+	return at
+}
+
+func (c *Core) carryOut(now logic.Millis, orders []logic.Order) {
+	d := c.draft(float64(now))
+	for _, o := range orders {
+		switch o := o.(type) {
+		case logic.After:
+			c.timers = append(c.timers, timer{now + o.In, o.Timer})
+		case logic.Ping:
+			if a := c.names.address[o.Host]; c.svc.Facts.MayProbe && a != "" {
+				c.out = append(c.out, Probe{a})
+			}
+		case logic.Say:
+			c.say(Event{Name: "module.says", Detail: o.Text})
+		case logic.Follow, logic.Pull, logic.Tell:
+			// The list comes by itself, and there is no peer yet.
+		default:
+			d.order(o)
+		}
+	}
+	if !d.wrote {
+		return
+	}
+	c.world = d.is
+	s := &step{world: d.is}
+	for _, id := range c.ids {
+		lines, concerned := d.lines[id]
+		if !concerned && !(d.stamped && d.all) {
+			continue
+		}
+		if lines += c.svc.Facts.HeadLines; d.stamped {
+			lines++
+		}
+		s.messages = append(s.messages, channel.Message{Proxy: id, Lines: lines,
+			Body: letter{c.document(d.is, id), d.serial, d.stamped, now}})
+	}
+	c.unsaved = append(c.unsaved, s)
+	c.out = append(c.out, Persist{d.change})
+	c.say(Event{Name: "step.ordered", Version: strconv.Itoa(int(d.is.step)),
+		Detail: strconv.Itoa(len(s.messages)) + " messages"})
+}
+
+// settle lets go what is safe now.
+func (c *Core) settle(now logic.Millis, upTo tables.Step) {
+	for len(c.unsaved) > 0 && c.unsaved[0].world.step <= upTo {
+		s := c.unsaved[0]
+		c.unsaved = c.unsaved[1:]
+		c.stored = s.world
+		c.channel.Offer(now, slices.DeleteFunc(s.messages, func(m channel.Message) bool {
+			return c.streams[m.Proxy] == nil
+		}))
+	}
+	for _, id := range c.ids {
+		if st := c.streams[id]; st.doc == nil {
+			c.open(now, id, st)
+		}
+	}
+}
+
+// arrive tells a proxy what has left the channel for it, at once if its poll waits.
+func (c *Core) arrive(now logic.Millis, m channel.Message) {
+	st := c.streams[m.Proxy]
+	l := m.Body.(letter)
+	if st == nil {
+		return
+	}
+	if l.stamped {
+		st.owed = append(st.owed, l)
+	}
+	if st.doc != nil && l.doc.Step > st.doc.Step {
+		c.keep(l.doc)
+		st.doc = l.doc
+	}
+	c.open(now, m.Proxy, st)
+}
+
+// keep makes a document a base that differences may start from.
+func (c *Core) keep(d *tables.Document) {
+	tag := d.Tag()
+	if c.kept[tag] != nil {
+		return
+	}
+	c.kept[tag] = d
+	if c.oldest = append(c.oldest, tag); len(c.oldest) > c.svc.Kept {
+		c.kept[c.oldest[0]].Forget()
+		delete(c.kept, c.oldest[0])
+		c.oldest = c.oldest[1:]
+	}
+}
+
+// reply answers the poll that waits with what its proxy may be told by now.
+func (c *Core) reply(now logic.Millis, id logic.ProxyID, st *stream) {
+	a := Answer{Ticket: st.ticket, Doc: st.doc, Kind: Whole}
+	switch {
+	case st.base == st.doc:
+		a.Kind = Unchanged
+		c.figures.Unchangeds++
+	case st.base != nil && st.delta:
+		if patch := st.doc.Delta(st.base); patch != nil {
+			a.Kind, a.Base, a.Patch = Delta, st.base, patch
+			c.figures.Deltas++
+			break
+		}
+		fallthrough
+	default:
+		c.figures.Wholes++
+	}
+	delete(c.waits, st.ticket)
+	st.ticket, st.last = 0, now
+	c.out = append(c.out, a)
+}
+
+func (c *Core) refuse(t Ticket, kind AnswerKind, why string) {
+	c.figures.Refused++
+	c.out = append(c.out, Answer{Ticket: t, Kind: kind, Why: why})
+}
+
+// find gives a proxy's number, if the settings know it.
+func (c *Core) find(name string) (logic.ProxyID, bool) {
+	if !c.svc.ProxyNames.MatchString(name) {
+		return 0, false
+	}
+	id, changed, ok := c.names.proxy(name, func(id logic.ProxyID) bool { return c.streams[id] != nil })
+	if changed {
+		c.out = append(c.out, Persist{Change{Line: c.line, Proxies: maps.Clone(c.names.proxies)}})
+	}
+	return id, ok
+}
+
+func (c *Core) poll(now logic.Millis, p Poll) {
+	c.figures.Polls++
+	if _, known := c.names.zones[p.Zone]; !known && p.Zone != "" {
+		c.refuse(p.Ticket, Wrong, "zone "+strconv.Quote(p.Zone)+" is not one of the settings")
+		return
+	}
+	id, ok := c.find(p.Proxy)
+	if !ok {
+		c.refuse(p.Ticket, Unknown, "the settings know no proxy "+strconv.Quote(p.Proxy)+", or hold no more of them")
+		return
+	}
+	st := c.streams[id]
+	if st == nil {
+		st = &stream{name: p.Proxy, zone: p.Zone}
+		c.streams[id] = st
+		at, _ := slices.BinarySearch(c.ids, id)
+		c.ids = slices.Insert(c.ids, at, id)
+		// What a new one is told here holds the masks and levels that stand, so it is never bare of them.
+		c.notes = append(c.notes, logic.Joined{Proxy: id, Fresh: len(p.Held) == 0, Rate: p.Rate,
+			Zone: c.names.zone(p.Zone)})
+		c.say(Event{Name: "proxy.joined", Proxy: p.Proxy})
+	} else if st.ticket != 0 {
+		// Its newer poll takes the place of the one that waits.
+		c.out = append(c.out, Answer{Ticket: st.ticket, Kind: Unchanged, Doc: st.doc})
+		delete(c.waits, st.ticket)
+	}
+	st.last, st.ticket, st.delta, st.base = now, p.Ticket, p.WantsDelta, nil
+	st.until = now + max(0, min(p.Wait, c.svc.LongestWait))
+	c.waits[p.Ticket] = id
+	for _, tag := range p.Held {
+		if d := c.kept[tag]; d != nil && (st.base == nil || d.Step > st.base.Step) {
+			st.base = d
+		}
+	}
+	c.open(now, id, st)
+}
+
+// open decides what a poll gets now: what stands, or a place to wait.
+func (c *Core) open(now logic.Millis, id logic.ProxyID, st *stream) {
+	if st.doc == nil {
+		if c.stored.step < c.opening {
+			return // nothing is told before the opening step is stored
+		}
+		// A proxy that joins reads all that is stored, whatever still waits in the channel for others.
+		st.doc = c.document(c.stored, id)
+		c.keep(st.doc)
+		if st.base == nil || st.base.Step > st.doc.Step {
+			st.base = nil
+		}
+	}
+	if st.base != nil {
+		owed := st.owed[:0]
+		for _, l := range st.owed {
+			if l.doc.Step <= st.base.Step {
+				c.notes = append(c.notes, logic.Applied{Proxy: id, Serial: l.serial, Spent: now - l.at})
+			} else {
+				owed = append(owed, l)
+			}
+		}
+		st.owed = owed
+	}
+	if st.ticket != 0 && (st.base != st.doc || st.until <= now) {
+		c.reply(now, id, st)
+	}
+}
+
+func (c *Core) leave(now logic.Millis, id logic.ProxyID, why string) {
+	st := c.streams[id]
+	delete(c.waits, st.ticket)
+	delete(c.streams, id)
+	if at, found := slices.BinarySearch(c.ids, id); found {
+		c.ids = slices.Delete(c.ids, at, at+1)
+	}
+	c.channel.Lose(id)
+	c.notes = append(c.notes, logic.Left{Proxy: id})
+	c.say(Event{Name: "proxy.left", Proxy: st.name, Detail: why})
+}
+
+// sweep ends polls that have waited as long as they asked for, and streams that poll no more.
+func (c *Core) sweep(now logic.Millis) {
+	if now < c.swept+50 {
+		return
+	}
+	c.swept = now
+	for _, id := range slices.Clone(c.ids) {
+		st := c.streams[id]
+		if st.ticket != 0 && st.doc != nil && now >= st.until {
+			c.reply(now, id, st)
+		} else if st.ticket == 0 && now-st.last > c.svc.Lease {
+			c.figures.Expired++
+			c.leave(now, id, "no poll within the lease")
+		}
+	}
+}
+
+func (c *Core) report(now logic.Millis, r Report) {
+	id, ok := c.find(r.Proxy)
+	st := c.streams[id]
+	if !ok || st == nil {
+		c.refuse(r.Ticket, Unknown, "proxy "+strconv.Quote(r.Proxy)+" has not polled within the lease")
+		return
+	}
+	if r.Key != "" && r.Key == st.reports {
+		c.figures.Repeats++
+		c.out = append(c.out, Answer{Ticket: r.Ticket, Kind: Taken})
+		return
+	}
+	var calls []sums.Calls
+	for i, l := range r.Calls {
+		route, known := c.routes[l.Route]
+		if !known {
+			c.refuse(r.Ticket, Wrong, "cluster_stats["+strconv.Itoa(i)+"]: the settings know no route "+strconv.Quote(l.Route))
+			return
+		}
+		line := sums.Calls{Proxy: id, Route: route, Calls: l.Calls, Lost: l.Lost}
+		if n := c.svc.Facts.Slices; n > 0 {
+			slice, err := strconv.Atoi(l.Table)
+			if err != nil || slice < 0 || slice >= n {
+				c.refuse(r.Ticket, Wrong, "cluster_stats["+strconv.Itoa(i)+"]: "+strconv.Quote(l.Table)+" is no slice")
+				return
+			}
+			line.Slice = logic.TableID(slice)
+		}
+		calls = append(calls, line)
+	}
+	st.reports = r.Key
+	c.figures.Reports++
+	zone := c.names.zone(st.zone)
+	for _, t := range r.Tries {
+		if k, known := c.names.hosts[t.Address]; known && t.Ended > 0 {
+			c.intake.Tried(now, sums.Tries{Host: k.Number, Zone: zone, Ended: t.Ended, Lost: t.Lost, Spent: t.Spent,
+				Load: t.Load})
+		}
+	}
+	for _, l := range calls {
+		if l.Calls > 0 {
+			c.intake.Came(now, l)
+		}
+	}
+	c.out = append(c.out, Answer{Ticket: r.Ticket, Kind: Taken})
+}
+
+// list follows the list of hosts.
+func (c *Core) list(now logic.Millis, hosts []Listed) {
+	c.notes = append(c.notes, logic.Roster{Kind: logic.Whole, Entries: c.entries(hosts, now)})
+	c.out = append(c.out, Persist{Change{Line: c.line, List: slices.Clone(hosts), Known: maps.Clone(c.names.hosts)}})
+	c.say(Event{Name: "list.told", Detail: strconv.Itoa(len(hosts)) + " hosts"})
+}
+
+func (c *Core) entries(hosts []Listed, now logic.Millis) (out []logic.Entry) {
+	clear(c.listed)
+	for _, l := range hosts {
+		if c.listed[l.Address] {
+			continue // named twice: the first counts
+		}
+		c.listed[l.Address] = true
+		id, _ := c.names.host(l)
+		out = append(out, logic.Entry{Host: id, State: l.State, Cell: c.names.cell(l.Cell), Zone: c.names.zone(l.Zone),
+			Weight: l.Weight, Born: min(logic.Millis(l.Born), now)})
+	}
+	return out
+}
+
+// Figures are those of now.
+func (c *Core) Figures() Figures {
+	f := c.figures
+	f.Step, f.Stored, f.Joined = c.world.step, c.stored.step, len(c.ids)
+	f.Parked, f.Hosts, f.Masked = len(c.waits), len(c.listed), len(c.world.masked)
+	f.Waiting, f.MostWaiting, f.QueueLimit = c.channel.Waiting(), c.channel.Most(), c.svc.Facts.QueueLimit
+	f.MostMessages, f.ReportLinesWaiting = c.channel.Dense(), c.intake.Waiting()
+	return f
+}
--- /dev/null
+++ b/internal/control/names.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// names gives the module's numbers to hosts, proxies, zones and cells, and back.
+type names struct {
+	hosts   map[tables.Address]KnownHost
+	address map[logic.HostID]tables.Address
+	proxies map[string]logic.ProxyID
+	named   map[logic.ProxyID]string
+	zones   map[string]logic.ZoneID
+	cells   map[string]logic.CellID
+	most    int
+}
+
+func newNames(zones []string, most int, saved *Saved) *names {
+	n := &names{hosts: maps.Clone(saved.Known), address: map[logic.HostID]tables.Address{},
+		proxies: maps.Clone(saved.Proxies), named: map[logic.ProxyID]string{}, zones: map[string]logic.ZoneID{},
+		cells: map[string]logic.CellID{}, most: most}
+	if n.hosts == nil {
+		n.hosts = map[tables.Address]KnownHost{}
+	}
+	if n.proxies == nil {
+		n.proxies = map[string]logic.ProxyID{}
+	}
+	for a, h := range n.hosts {
+		n.address[h.Number] = a
+	}
+	for name, id := range n.proxies {
+		n.named[id] = name
+	}
+	for i, z := range zones {
+		n.zones[z] = logic.ZoneID(i)
+	}
+	return n
+}
+
+// host numbers a host by a hash of its address, so that directors that share nothing mostly agree.
+func (n *names) host(l Listed) (id logic.HostID, changed bool) {
+	is := KnownHost{Host: tables.Host{ID: l.ID, Zone: l.Zone, Cell: l.Cell}}
+	if k, known := n.hosts[l.Address]; known {
+		is.Number = k.Number
+		n.hosts[l.Address] = is
+		return is.Number, is != k
+	}
+	is.Number = logic.HostID(xxhash.Sum64String(string(l.Address)))
+	for ; is.Number == 0 || n.address[is.Number] != ""; is.Number++ {
+	}
+	n.hosts[l.Address], n.address[is.Number] = is, l.Address
+	return is.Number, true
+}
+
+func (n *names) zone(name string) logic.ZoneID {
+	if _, known := n.zones[name]; !known {
+		n.zones[name] = logic.ZoneID(len(n.zones))
+	}
+	return n.zones[name]
+}
+
+func (n *names) cell(name string) logic.CellID {
+	if _, known := n.cells[name]; !known {
+		n.cells[name] = logic.CellID(len(n.cells))
+	}
+	return n.cells[name]
+}
+
+// proxy gives a proxy its number; where all are taken, that of one that is not joined.
+func (n *names) proxy(name string, joined func(logic.ProxyID) bool) (id logic.ProxyID, changed, ok bool) {
+	if id, known := n.proxies[name]; known {
+		return id, false, true
+	}
+	for id := range logic.ProxyID(n.most) {
+		if n.named[id] == "" {
+			n.proxies[name], n.named[id] = id, name
+			return id, true, true
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.named)) {
+		if !joined(id) {
+			delete(n.proxies, n.named[id])
+			n.proxies[name], n.named[id] = id, name
+			return id, true, true
+		}
+	}
+	return 0, false, false
+}
--- /dev/null
+++ b/internal/control/types.go
@@ -0,0 +1,170 @@
+// Package control is one director without its sockets: it feeds the module what happened, and turns the
+// module's orders into versions of what each proxy is told, into messages that wait for the channel, and into
+// answers to polls. No I/O, no clock, nothing global: what comes in at a time decides what goes out. It places
+// nothing and judges nothing; that is package logic's.
+package control
+
+import (
+	"regexp"
+
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// RouteInfo is a route by its name, with what proxies are told of it.
+type RouteInfo struct {
+	Name string
+	tables.Route
+}
+
+// Service is what is directed, in the words of the settings.
+type Service struct {
+	Facts       logic.Facts
+	Routes      []RouteInfo
+	Zones       []string
+	Pick        string
+	ProxyNames  *regexp.Regexp
+	Lease       logic.Millis // without a poll for so long, a proxy has left
+	LongestWait logic.Millis
+	Kept        int // documents kept as bases for differences
+}
+
+// Ticket names a poll that waits for its answer; the front gives it out.
+type Ticket uint64
+
+// Inputs.
+type (
+	// Poll asks for what a proxy is told. Held is what it says it holds, if anything.
+	Poll struct {
+		Ticket     Ticket
+		Proxy      string
+		Zone       string
+		Rate       float64
+		Held       []tables.Tag
+		Wait       logic.Millis
+		WantsDelta bool
+	}
+	// Broke says that the connection of a waiting poll is gone.
+	Broke struct{ Ticket Ticket }
+	// Report is a proxy's sums since its last one. Key tells a repeat from a new one.
+	Report struct {
+		Ticket Ticket
+		Proxy  string
+		Key    string
+		Tries  []HostTries
+		Calls  []RouteCalls
+	}
+	HostTries struct {
+		Address     tables.Address
+		Ended, Lost int
+		Spent       float64
+		Load        logic.Load
+	}
+	RouteCalls struct {
+		Route, Table string
+		Calls, Lost  int
+	}
+	// List is the whole list of hosts as it was just told.
+	List struct{ Hosts []Listed }
+	// Stored says that all steps up to this one would outlive a crash.
+	Stored struct{ Step tables.Step }
+	Probed struct {
+		Address tables.Address
+		Spent   logic.Millis
+		Good    bool
+		Load    logic.Load
+	}
+)
+
+// Listed is a host in the list. Born is in Unix milliseconds; 0 is a distant past.
+type Listed struct {
+	ID      string          `json:"id"`
+	Address tables.Address  `json:"address"`
+	Zone    string          `json:"zone"`
+	Cell    string          `json:"cell"`
+	State   logic.HostState `json:"state"`
+	Weight  float64         `json:"weight"`
+	Born    float64         `json:"born"`
+}
+
+// Outputs.
+type (
+	// Answer ends a poll or a report. Doc is what the proxy is told from now on; with a Base it is told the
+	// difference.
+	Answer struct {
+		Ticket Ticket
+		Kind   AnswerKind
+		Doc    *tables.Document
+		Base   *tables.Document
+		Patch  []byte // the difference, encoded
+		Why    string
+	}
+	// Persist must outlive a crash before Stored is said.
+	Persist struct{ Change Change }
+	Probe   struct{ Address tables.Address }
+	// Event is one thing that happened, for the log.
+	Event struct {
+		Name                         string
+		Proxy, Host, Version, Detail string
+	}
+)
+
+type AnswerKind int
+
+const (
+	Unchanged AnswerKind = iota
+	Whole
+	Delta
+	Taken   // a report was counted
+	Unknown // no such proxy, or more than the settings allow
+	Wrong   // it names what is not there
+	Busy
+)
+
+// Change is what a step writes; nil parts stay as they were.
+type Change struct {
+	Line    tables.Line
+	Step    tables.Step
+	At      float64
+	Tables  map[logic.TableID]*tables.Table // nil: gone
+	Masked  map[tables.Address]bool
+	Levels  []tables.Level
+	Bound   map[logic.ProxyID][]logic.TableID
+	Carried map[logic.ProxyID]map[string]*tables.Table // what proxies held before the start, by route
+	Proxies map[string]logic.ProxyID
+	Known   map[tables.Address]KnownHost
+	List    []Listed
+}
+
+// KnownHost keeps a host's number over restarts.
+type KnownHost struct {
+	Number logic.HostID `json:"number"`
+	tables.Host
+}
+
+// Saved is all that was stored.
+type Saved struct {
+	Line    tables.Line
+	Step    tables.Step
+	At      float64
+	Tables  map[logic.TableID]*tables.Table
+	Masked  map[tables.Address]bool
+	Levels  []tables.Level
+	Bound   map[logic.ProxyID][]logic.TableID
+	Carried map[logic.ProxyID]map[string]*tables.Table
+	Proxies map[string]logic.ProxyID
+	Known   map[tables.Address]KnownHost
+	List    []Listed
+}
+
+// Figures are counted for the operator.
+type Figures struct {
+	Step, Stored                       tables.Step
+	Joined, Parked                     int
+	Waiting, MostWaiting, QueueLimit   float64
+	MostMessages                       int
+	Polls, Deltas, Wholes, Unchangeds  uint64
+	Reports, Repeats, Refused, Expired uint64
+	ReportLinesWaiting                 int
+	Hosts, Masked                      int
+}
--- /dev/null
+++ b/internal/control/world.go
@@ -0,0 +1,253 @@
+package control
+
+import (
+	"maps"
+	"math/bits"
+	"strconv"
+	"strings"
+
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// world is what has been ordered, as of one step. A step copies what it changes; the rest is shared.
+type world struct {
+	step    tables.Step
+	at      float64
+	tables  map[logic.TableID]*tables.Table
+	masked  map[tables.Address]bool
+	levels  []tables.Level
+	bound   map[logic.ProxyID][]logic.TableID // by route; -1 where none
+	carried map[logic.ProxyID]map[string]*tables.Table
+	docs    map[string]*tables.Document // made so far, by what they are made of
+}
+
+// draft is a step in the making.
+type draft struct {
+	c       *Core
+	was     *world
+	is      *world
+	change  Change
+	fresh   map[logic.TableID]bool // tables that this step has copied already
+	lines   map[logic.ProxyID]float64
+	serial  logic.SerialID
+	stamped bool
+	all     bool
+	wrote   bool
+}
+
+func (c *Core) draft(at float64) *draft {
+	w := *c.world
+	w.step, w.at, w.docs = c.world.step+1, at, map[string]*tables.Document{}
+	return &draft{c: c, was: c.world, is: &w, fresh: map[logic.TableID]bool{}, lines: map[logic.ProxyID]float64{},
+		change: Change{Line: c.line, Step: w.step, At: at}}
+}
+
+// table gives a table that this step may write.
+func (d *draft) table(id logic.TableID) *tables.Table {
+	if !d.fresh[id] {
+		if len(d.fresh) == 0 {
+			d.is.tables = maps.Clone(d.is.tables)
+			d.change.Tables = map[logic.TableID]*tables.Table{}
+		}
+		t := &tables.Table{Lines: map[tables.Address]float64{}}
+		if was := d.is.tables[id]; was != nil {
+			t.From, t.To, t.Levels = was.From, was.To, maps.Clone(was.Levels)
+			maps.Copy(t.Lines, was.Lines)
+		} else if n := d.c.svc.Facts.Slices; n > 0 {
+			from, to := tables.SliceRange(int(id), n)
+			t.From, t.To = &from, &to
+		}
+		d.is.tables[id], d.change.Tables[id], d.fresh[id] = t, t, true
+	}
+	return d.is.tables[id]
+}
+
+// charge counts a line at each joined proxy concerned.
+func (d *draft) charge(lines float64, concerned func(logic.ProxyID) bool) {
+	for _, id := range d.c.ids {
+		if concerned(id) {
+			d.lines[id] += lines
+		}
+	}
+	d.wrote = true
+}
+
+func everyone(logic.ProxyID) bool { return true }
+
+func (d *draft) users(t logic.TableID) func(logic.ProxyID) bool {
+	if d.c.svc.Facts.Slices > 0 || t == logic.EveryTable {
+		return everyone
+	}
+	return func(id logic.ProxyID) bool {
+		for _, b := range d.is.bound[id] {
+			if b == t {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func (d *draft) holders(a tables.Address) func(logic.ProxyID) bool {
+	if d.c.svc.Facts.Slices > 0 {
+		for _, t := range d.is.tables {
+			if _, holds := t.Lines[a]; holds {
+				return everyone
+			}
+		}
+		return func(logic.ProxyID) bool { return false }
+	}
+	return func(id logic.ProxyID) bool {
+		for _, b := range d.is.bound[id] {
+			if t := d.is.tables[b]; t != nil {
+				if _, holds := t.Lines[a]; holds {
+					return true
+				}
+			}
+		}
+		return false
+	}
+}
+
+func (d *draft) order(o logic.Order) {
+	f := d.c.svc.Facts
+	switch o := o.(type) {
+	case logic.SetLine:
+		t, a := d.table(o.Table), d.c.names.address[o.Host]
+		if o.Weight <= 0 {
+			delete(t.Lines, a)
+		} else {
+			if f.OneOwner {
+				clear(t.Lines)
+			}
+			t.Lines[a] = o.Weight
+		}
+		d.charge(1, d.users(o.Table))
+	case logic.DropLines:
+		t := d.table(o.Table)
+		clear(t.Lines)
+		t.Levels = nil
+		d.charge(1, d.users(o.Table))
+	case logic.Mask:
+		a := d.c.names.address[o.Host]
+		if d.change.Masked == nil {
+			d.is.masked = maps.Clone(d.is.masked)
+			d.change.Masked = d.is.masked
+		}
+		if o.Out {
+			d.is.masked[a] = true
+		} else {
+			delete(d.is.masked, a)
+		}
+		d.charge(1, d.holders(a))
+		d.c.say(Event{Name: "host.masked", Host: string(a), Detail: strconv.FormatBool(o.Out)})
+	case logic.Throttle:
+		to := tables.Level{Level: o.Level, Tries: o.Tries}
+		if o.Table == logic.EveryTable {
+			if d.change.Levels == nil {
+				d.is.levels = append([]tables.Level(nil), d.is.levels...)
+				d.change.Levels = d.is.levels
+			}
+			for r := range d.is.levels {
+				if o.Routes == 0 || o.Routes&(1<<r) != 0 {
+					d.is.levels[r] = to
+				}
+			}
+		} else {
+			t := d.table(o.Table)
+			if t.Levels == nil {
+				t.Levels = map[string]tables.Level{}
+			}
+			for r, route := range d.c.svc.Routes {
+				if o.Routes == 0 || o.Routes&(1<<r) != 0 {
+					t.Levels[route.Name] = to
+				}
+			}
+		}
+		d.charge(float64(max(1, bits.OnesCount64(uint64(o.Routes)))), d.users(o.Table))
+		d.c.say(Event{Name: "level.set", Detail: strconv.FormatFloat(o.Level, 'g', 4, 64)})
+	case logic.Bind:
+		if d.change.Bound == nil {
+			d.is.bound, d.change.Bound = maps.Clone(d.is.bound), map[logic.ProxyID][]logic.TableID{}
+		}
+		by := make([]logic.TableID, len(d.c.svc.Routes))
+		was := d.is.bound[o.Proxy]
+		for r := range by {
+			if by[r] = -1; r < len(was) {
+				by[r] = was[r]
+			}
+			if o.Routes == 0 || o.Routes&(1<<r) != 0 {
+				by[r] = o.Table
+			}
+		}
+		d.is.bound[o.Proxy], d.change.Bound[o.Proxy] = by, by
+		lines := 1.0
+		if t := d.is.tables[o.Table]; t != nil {
+			lines += float64(len(t.Lines) + len(t.Levels) + len(d.is.levels))
+			for a := range t.Lines {
+				if d.is.masked[a] {
+					lines++
+				}
+			}
+		}
+		d.charge(lines, func(id logic.ProxyID) bool { return id == o.Proxy })
+	case logic.Stamp:
+		d.serial, d.stamped, d.all = o.Serial, true, o.All
+	}
+}
+
+// document is what a proxy is told at a world's step.
+func (c *Core) document(w *world, id logic.ProxyID) *tables.Document {
+	key := ""
+	if c.svc.Facts.Slices == 0 {
+		var b strings.Builder
+		for r := range c.svc.Routes {
+			if by := w.bound[id]; r < len(by) && by[r] >= 0 {
+				b.WriteString(strconv.Itoa(int(by[r])))
+			} else if w.carried[id][c.svc.Routes[r].Name] != nil {
+				b.WriteString("was" + strconv.Itoa(int(id)))
+			}
+			b.WriteByte(';')
+		}
+		key = b.String()
+	}
+	if d := w.docs[key]; d != nil {
+		return d
+	}
+	f := c.svc.Facts
+	d := &tables.Document{Pick: c.svc.Pick, Ejects: f.EjectsAfter, TryWait: f.TryWait,
+		Routes: map[string]tables.Route{}, Hosts: map[tables.Address]tables.Host{},
+		Masked: map[tables.Address]bool{}, Tables: map[string]*tables.Table{}}
+	use := func(name string, t *tables.Table) {
+		d.Tables[name] = t
+		for a := range t.Lines {
+			d.Hosts[a] = c.names.hosts[a].Host
+			if w.masked[a] {
+				d.Masked[a] = true
+			}
+		}
+	}
+	if f.Slices > 0 {
+		d.Hash = tables.KeyHash
+		for t, table := range w.tables {
+			use(strconv.Itoa(int(t)), table)
+		}
+	}
+	for r, info := range c.svc.Routes {
+		route := info.Route
+		route.Level = w.levels[r]
+		if f.Slices == 0 {
+			if by := w.bound[id]; r < len(by) && by[r] >= 0 && w.tables[by[r]] != nil {
+				route.Table = "t" + strconv.Itoa(int(by[r]))
+				use(route.Table, w.tables[by[r]])
+			} else if t := w.carried[id][info.Name]; t != nil {
+				route.Table = "was-" + info.Name
+				use(route.Table, t)
+			}
+		}
+		d.Routes[info.Name] = route
+	}
+	w.docs[key] = d.Seal(c.line, w.step, w.at)
+	return d
+}
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,215 @@
+// Package director runs a control.Core: one goroutine owns it, hands it what happened in batches, and carries
+// out what it says: the store, the probes, and the answers of the fronts.
+package director
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchwood/internal/control"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// Store makes changes durable.
+type Store interface {
+	Load() (control.Saved, error)
+	Write([]control.Change) error
+}
+
+// Prober asks a host whether it answers. It calls back once.
+type Prober func(ctx context.Context, host tables.Address) (good bool, load logic.Load)
+
+// Front carries answers to whoever asked. It must not block.
+type Front interface{ Answer(control.Answer) }
+
+// Director is a running one.
+type Director struct {
+	core    *control.Core
+	store   Store
+	probe   Prober
+	log     *slog.Logger
+	epoch   time.Time
+	offset  float64
+	front   Front
+	tickets atomic.Uint64
+
+	mu    sync.Mutex
+	box   []any
+	wake  chan struct{}
+	ready atomic.Bool
+	seen  atomic.Pointer[control.Figures]
+	slow  atomic.Int64 // longest turn of the loop, in microseconds
+
+	writes chan control.Change
+	first  []any
+}
+
+// batchFor is how long what happens is gathered before the module hears of it.
+const batchFor = 2 * time.Millisecond
+
+// New loads the state and makes a director that has yet to run.
+func New(svc control.Service, store Store, probe Prober, log *slog.Logger) (*Director, error) {
+	saved, err := store.Load()
+	if err != nil {
+		return nil, err
+	}
+	d := &Director{store: store, probe: probe, log: log, epoch: time.Now(), wake: make(chan struct{}, 1),
+		writes: make(chan control.Change, 4096)}
+	d.offset = float64(d.epoch.UnixMicro()) / 1000
+	d.core, d.first = control.New(rand.Uint64(), d.Now(), svc, saved)
+	f := d.core.Figures()
+	d.seen.Store(&f)
+	log.Info("director.loaded", "line", uint64(saved.Line), "step", uint64(saved.Step), "hosts", len(saved.List),
+		"tables", len(saved.Tables))
+	return d, nil
+}
+
+// Now is the module's time: Unix milliseconds at the start, and from then on by the steady clock.
+func (d *Director) Now() logic.Millis {
+	return logic.Millis(d.offset + float64(time.Since(d.epoch).Nanoseconds())/1e6)
+}
+
+// Ticket names a new poll.
+func (d *Director) Ticket() control.Ticket { return control.Ticket(d.tickets.Add(1)) }
+
+// Post puts something that happened into the director's inbox.
+func (d *Director) Post(in any) {
+	d.mu.Lock()
+	d.box = append(d.box, in)
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Ready says whether the opening state is stored, so that polls are answered.
+func (d *Director) Ready() bool { return d.ready.Load() }
+
+// Figures are those of the last turn.
+func (d *Director) Figures() control.Figures { return *d.seen.Load() }
+
+// LongestTurn is the longest that the loop has been busy with one batch.
+func (d *Director) LongestTurn() time.Duration {
+	return time.Duration(d.slow.Load()) * time.Microsecond
+}
+
+// Run turns until the context ends. What was ordered by then is stored.
+func (d *Director) Run(ctx context.Context, front Front) error {
+	d.front = front
+	stored := make(chan error, 1)
+	go func() { stored <- d.write() }()
+	d.carryOut(ctx, d.first)
+	d.first = nil
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-d.wake:
+			time.Sleep(batchFor)
+		case err := <-stored:
+			return err
+		}
+		d.mu.Lock()
+		in := d.box
+		d.box = nil
+		d.mu.Unlock()
+		began := time.Now()
+		d.carryOut(ctx, d.core.Handle(d.Now(), in))
+		f := d.core.Figures()
+		d.seen.Store(&f)
+		if took := time.Since(began).Microseconds(); took > d.slow.Load() {
+			d.slow.Store(took)
+		}
+		timer.Reset(max(0, time.Duration(float64(d.core.Wake()-d.Now())*float64(time.Millisecond))))
+	}
+	close(d.writes)
+	return <-stored
+}
+
+func (d *Director) carryOut(ctx context.Context, out []any) {
+	for _, o := range out {
+		switch o := o.(type) {
+		case control.Answer:
+			d.front.Answer(o)
+		case control.Persist:
+			d.writes <- o.Change
+		case control.Probe:
+			go d.ask(ctx, o.Address)
+		case control.Event:
+			level := slog.LevelInfo
+			if o.Name == "step.ordered" {
+				level = slog.LevelDebug
+			}
+			d.log.LogAttrs(ctx, level, o.Name, attrs(o)...)
+		}
+	}
+}
+
+func attrs(e control.Event) (out []slog.Attr) {
+	for _, a := range []slog.Attr{slog.String("proxy", e.Proxy), slog.String("host", e.Host),
+		slog.String("version", e.Version), slog.String("detail", e.Detail)} {
+		if a.Value.String() != "" {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (d *Director) ask(ctx context.Context, host tables.Address) {
+	began := time.Now()
+	good, load := d.probe(ctx, host)
+	spent := logic.Millis(float64(time.Since(began).Microseconds()) / 1000)
+	d.Post(control.Probed{Address: host, Spent: spent, Good: good, Load: load})
+}
+
+// ErrStore ends a director whose store refuses writes for long: what is not stored is not told.
+var ErrStore = errors.New("the store refuses writes")
+
+// write makes changes durable, as many at once as wait, and tells the core. A failed write is tried again; it
+// is the same change, so that nothing is told out of turn.
+func (d *Director) write() error {
+	for c := range d.writes {
+		batch := []control.Change{c}
+	gather:
+		for {
+			select {
+			case more, open := <-d.writes:
+				if !open {
+					break gather
+				}
+				batch = append(batch, more)
+			default:
+				break gather
+			}
+		}
+		for tries := 1; ; tries++ {
+			err := d.store.Write(batch)
+			if err == nil {
+				break
+			}
+			d.log.Error("store.failed", "error", err, "tries", tries)
+			if tries == 20 {
+				return errors.Join(ErrStore, err)
+			}
+			time.Sleep(time.Duration(tries) * 50 * time.Millisecond)
+		}
+		step := tables.Step(0)
+		for _, c := range batch {
+			step = max(step, c.Step)
+		}
+		if step > 0 {
+			d.Post(control.Stored{Step: step})
+			d.ready.Store(true)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/judge/book.go
@@ -0,0 +1,136 @@
+// Package judge tells from what was seen on the sockets whether the five rules held, and how good the service
+// was. What a director believes is no witness. No I/O, no clock.
+package judge
+
+import (
+	"sync"
+	"time"
+
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// All times are Unix milliseconds of one clock.
+type (
+	// Arrival is a try as its host saw it.
+	Arrival struct {
+		At           float64
+		Host         tables.Address
+		Proxy, Route string
+		Call         string
+		Work, Born   float64
+		Cores        int
+		Effect       bool // it ran
+		Dropped      bool // a repeat that the host knew
+	}
+	// Sent is a try as its proxy sent it.
+	Sent struct {
+		At          float64
+		Proxy, Call string
+		Host        tables.Address
+	}
+	// Outcome ends a call.
+	Outcome struct {
+		At, Took  float64
+		Proxy     string
+		Route     string
+		Throttled bool
+		Answered  bool
+	}
+	// Held is a proxy's new document, or its joining or leaving (Doc nil).
+	Held struct {
+		At     float64
+		Proxy  string
+		Joined bool
+		Doc    *tables.Document
+		Lines  int
+		Whole  bool
+	}
+	// Told is a list as the director was told it.
+	Told struct {
+		At    float64
+		Hosts []ToldHost
+	}
+	ToldHost struct {
+		Address tables.Address
+		State   logic.HostState
+		Born    float64
+	}
+	// Note is what the rehearsal did.
+	Note struct {
+		At   float64
+		Text string
+	}
+	Work struct{ At, Ms float64 }
+)
+
+// Book gathers records from many goroutines.
+type Book struct {
+	mu       sync.Mutex
+	Arrivals []Arrival
+	Sents    []Sent
+	Outcomes []Outcome
+	Helds    []Held
+	Tolds    []Told
+	Notes    []Note
+	Falls    []Sent
+}
+
+func (b *Book) Arrive(a Arrival) { b.mu.Lock(); b.Arrivals = append(b.Arrivals, a); b.mu.Unlock() }
+func (b *Book) Send(s Sent)      { b.mu.Lock(); b.Sents = append(b.Sents, s); b.mu.Unlock() }
+func (b *Book) End(o Outcome)    { b.mu.Lock(); b.Outcomes = append(b.Outcomes, o); b.mu.Unlock() }
+func (b *Book) Hold(h Held)      { b.mu.Lock(); b.Helds = append(b.Helds, h); b.mu.Unlock() }
+func (b *Book) Tell(t Told)      { b.mu.Lock(); b.Tolds = append(b.Tolds, t); b.mu.Unlock() }
+func (b *Book) Happened(n Note)  { b.mu.Lock(); b.Notes = append(b.Notes, n); b.mu.Unlock() }
+func (b *Book) Fell(h tables.Address, at float64) {
+	b.mu.Lock()
+	b.Falls = append(b.Falls, Sent{At: at, Host: h})
+	b.mu.Unlock()
+}
+
+// Counts are how the day goes, for a line on a terminal.
+func (b *Book) Counts() (calls, answered, throttled int, step tables.Step) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range b.Outcomes {
+		if o.Answered {
+			answered++
+		}
+		if o.Throttled {
+			throttled++
+		}
+	}
+	for _, h := range b.Helds {
+		if h.Doc != nil {
+			step = max(step, h.Doc.Step)
+		}
+	}
+	return len(b.Outcomes), answered, throttled, step
+}
+
+// Ability is the part of its work that a host can do so many milliseconds after its start.
+func Ability(age, coldFrom float64, warm time.Duration) float64 {
+	if warm <= 0 {
+		return 1
+	}
+	return min(1, coldFrom+(1-coldFrom)*max(0, age)/float64(warm.Milliseconds()))
+}
+
+// Tipped is the work sent to a host in the window that ends now, as a part of what a cold one bears; 1 tips it.
+// It forgets what lies before the window. A warm host can't be tipped.
+func Tipped(work *[]Work, now, born float64, cores int, coldFrom float64, warm time.Duration, tip float64, fall time.Duration) float64 {
+	span := float64(fall.Milliseconds())
+	for len(*work) > 0 && now-(*work)[0].At > span {
+		*work = (*work)[1:]
+	}
+	if born == 0 || now-born >= float64(warm.Milliseconds()) {
+		return 0
+	}
+	sum := 0.0
+	for _, w := range *work {
+		sum += w.Ms
+	}
+	// A call or two is chance, not a load.
+	slack := 2 * sum / float64(max(1, len(*work)))
+	return max(0, sum-slack) / (tip * Ability(now-born, coldFrom, warm) * span * float64(cores))
+}
--- /dev/null
+++ b/internal/judge/verdict.go
@@ -0,0 +1,394 @@
+package judge
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// Terms are what the rules are judged by.
+type Terms struct {
+	Routes      map[string]tables.Route
+	LateShare   map[string]float64
+	Slices      int
+	Bare        float64 // milliseconds
+	Grace       float64
+	Warm        time.Duration
+	ColdFrom    float64
+	Tip         float64
+	Fall        time.Duration
+	Queue       float64 // lines
+	Head        float64
+	Messages    int
+	MessageSpan float64
+	From, Until float64 // of the day
+}
+
+// Rule is the verdict on one of them: what was measured, and what it may be.
+type Rule struct {
+	Name  string  `json:"name"`
+	Kept  bool    `json:"kept"`
+	Worst float64 `json:"worst"`
+	Limit float64 `json:"limit"`
+	Unit  string  `json:"unit"`
+	Where string  `json:"where,omitempty"`
+}
+
+// Verdict is that on a day.
+type Verdict struct {
+	Rules     []Rule             `json:"rules"`
+	Service   float64            `json:"service"` // importance answered in time over importance asked for
+	WorstTen  float64            `json:"service_worst_10s"`
+	ByRoute   map[string]float64 `json:"service_by_route"`
+	Calls     int                `json:"calls"`
+	Answered  int                `json:"answered"`
+	Throttled int                `json:"throttled"`
+	Dropped   int                `json:"dropped"`
+	Tries     int                `json:"tries"`
+	Steps     int                `json:"versions_seen"`
+	Backwards int                `json:"sent_backwards"`
+	Falls     int                `json:"hosts_fallen"`
+	MedianMs  float64            `json:"answer_ms_p50"`
+	P99Ms     float64            `json:"answer_ms_p99"`
+	Lists     int                `json:"lists_told"`
+	Whole     int                `json:"whole_documents"`
+	Deltas    int                `json:"deltas"`
+}
+
+// Kept says whether all rules held.
+func (v Verdict) Kept() bool {
+	return v.Backwards == 0 && !slices.ContainsFunc(v.Rules, func(r Rule) bool { return !r.Kept })
+}
+
+// Judge reads the book once the day is over.
+func (b *Book) Judge(t Terms) Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slices.SortStableFunc(b.Arrivals, func(a, c Arrival) int { return before(a.At, c.At) })
+	slices.SortStableFunc(b.Sents, func(a, c Sent) int { return before(a.At, c.At) })
+	slices.SortStableFunc(b.Helds, func(a, c Held) int { return before(a.At, c.At) })
+	slices.SortStableFunc(b.Tolds, func(a, c Told) int { return before(a.At, c.At) })
+	v := Verdict{Tries: len(b.Sents), Falls: len(b.Falls), Lists: len(b.Tolds)}
+	v.Rules = []Rule{b.bare(t), b.twice(t), b.drains(t), b.cold(t), b.queue(t), b.messages(t)}
+	b.service(t, &v)
+	b.versions(&v)
+	return v
+}
+
+func before(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// spans are stretches of time, in order.
+type span struct{ from, to float64 }
+
+// warmListed is when the list told the director of an open host that is warm.
+func (b *Book) warmListed(t Terms) (out []span) {
+	for i, told := range b.Tolds {
+		until := t.Until
+		if i+1 < len(b.Tolds) {
+			until = b.Tolds[i+1].At
+		}
+		from := math.Inf(1)
+		for _, h := range told.Hosts {
+			if h.State == logic.Up {
+				from = min(from, max(told.At, h.Born+float64(t.Warm.Milliseconds())))
+			}
+		}
+		if from < until {
+			if n := len(out); n > 0 && out[n-1].to >= from {
+				out[n-1].to = until
+			} else {
+				out = append(out, span{from, until})
+			}
+		}
+	}
+	return out
+}
+
+// bare is the first rule: no joined proxy without a line to pick.
+func (b *Book) bare(t Terms) Rule {
+	r := Rule{Name: "no proxy without a line", Kept: true, Limit: t.Bare, Unit: "ms"}
+	warm := b.warmListed(t)
+	since := map[string]map[string]float64{} // proxy, table: bare from then on
+	end := func(proxy, table string, at float64) {
+		from, was := since[proxy][table]
+		if !was {
+			return
+		}
+		delete(since[proxy], table)
+		for _, w := range warm {
+			if long := min(at, w.to) - max(from, w.from); long > r.Worst {
+				r.Worst, r.Where = long, fmt.Sprintf("proxy %s, table %s", proxy, table)
+			}
+		}
+	}
+	for _, h := range b.Helds {
+		if since[h.Proxy] == nil {
+			since[h.Proxy] = map[string]float64{}
+		}
+		if h.Doc == nil {
+			if !h.Joined {
+				for _, table := range slices.Sorted(maps.Keys(since[h.Proxy])) {
+					end(h.Proxy, table, h.At)
+				}
+			}
+			continue
+		}
+		names := slices.Sorted(maps.Keys(h.Doc.Tables))
+		if t.Slices == 0 {
+			names = slices.Sorted(maps.Keys(t.Routes))
+		}
+		for _, name := range names {
+			table := h.Doc.Tables[name]
+			if t.Slices == 0 {
+				table = h.Doc.Tables[h.Doc.Routes[name].Table]
+			}
+			open := false
+			if table != nil {
+				for a := range table.Lines {
+					open = open || !h.Doc.Masked[a]
+				}
+			}
+			if _, was := since[h.Proxy][name]; open {
+				end(h.Proxy, name, h.At)
+			} else if !was {
+				since[h.Proxy][name] = h.At
+			}
+		}
+	}
+	for _, proxy := range slices.Sorted(maps.Keys(since)) {
+		for _, table := range slices.Sorted(maps.Keys(since[proxy])) {
+			end(proxy, table, t.Until)
+		}
+	}
+	r.Kept = r.Worst <= r.Limit
+	return r
+}
+
+// twice is the second: no effect twice by our orders. The callers of a rehearsal don't repeat by themselves.
+func (b *Book) twice(t Terms) Rule {
+	r := Rule{Name: "no effect twice", Kept: true, Unit: "calls"}
+	ran := map[string]int{}
+	for _, a := range b.Arrivals {
+		if a.Effect && a.Call != "" && t.Routes[a.Route].Repeat != "repeatable" {
+			if ran[a.Call]++; ran[a.Call] == 2 {
+				r.Worst++
+				r.Where = fmt.Sprintf("call %s of %s at %s", a.Call, a.Route, a.Host)
+			}
+		}
+	}
+	r.Kept = r.Worst == 0
+	return r
+}
+
+// joinedSpans are when a proxy was joined.
+func (b *Book) joinedSpans(until float64) map[string][]span {
+	out := map[string][]span{}
+	for _, h := range b.Helds {
+		all := out[h.Proxy]
+		if h.Doc == nil && h.Joined {
+			out[h.Proxy] = append(all, span{h.At, until})
+		} else if h.Doc == nil && len(all) > 0 {
+			all[len(all)-1].to = h.At
+		}
+	}
+	return out
+}
+
+// drains is the third: nothing is sent to a host for longer than the grace after the director was told that it
+// drains or is gone. The clock runs from the proxy's joining, if that is later.
+func (b *Book) drains(t Terms) Rule {
+	r := Rule{Name: "drains kept", Kept: true, Limit: t.Grace, Unit: "ms"}
+	out := map[tables.Address][]span{}
+	was := map[tables.Address]bool{}
+	for _, told := range b.Tolds {
+		now := map[tables.Address]bool{}
+		for _, h := range told.Hosts {
+			now[h.Address] = h.State == logic.Up
+			if _, known := was[h.Address]; !known {
+				was[h.Address] = true
+			}
+		}
+		for _, a := range slices.Sorted(maps.Keys(was)) {
+			all := out[a]
+			switch {
+			case was[a] && !now[a]:
+				out[a] = append(all, span{told.At, math.Inf(1)})
+			case !was[a] && now[a]:
+				all[len(all)-1].to = told.At
+			}
+			was[a] = now[a]
+		}
+	}
+	joined := b.joinedSpans(t.Until)
+	for _, s := range b.Sents {
+		for _, o := range out[s.Host] {
+			if s.At < o.from || s.At >= o.to {
+				continue
+			}
+			for _, j := range joined[s.Proxy] {
+				if s.At >= j.from && s.At < j.to {
+					if late := s.At - max(o.from, j.from); late > r.Worst {
+						r.Worst, r.Where = late, fmt.Sprintf("proxy %s to host %s", s.Proxy, s.Host)
+					}
+				}
+			}
+		}
+	}
+	r.Kept = r.Worst <= r.Limit
+	return r
+}
+
+// cold is the fourth: no host that has just started is pushed over by what was sent after its start was known.
+func (b *Book) cold(t Terms) Rule {
+	r := Rule{Name: "no cold host pushed over", Kept: true, Limit: 1, Unit: "of what it bears"}
+	known := map[tables.Address][]float64{} // when the director first heard of each start
+	births := map[tables.Address]float64{}
+	for _, told := range b.Tolds {
+		for _, h := range told.Hosts {
+			if h.State == logic.Up && h.Born != births[h.Address] {
+				births[h.Address] = h.Born
+				known[h.Address] = append(known[h.Address], told.At)
+			}
+		}
+	}
+	work := map[tables.Address][]Work{}
+	born := map[tables.Address]float64{}
+	for _, a := range b.Arrivals {
+		if born[a.Host] != a.Born {
+			born[a.Host], work[a.Host] = a.Born, nil
+		}
+		heard := slices.ContainsFunc(known[a.Host], func(at float64) bool { return at >= a.Born && at <= a.At })
+		if !heard {
+			continue // the director could not know
+		}
+		w := append(work[a.Host], Work{a.At, a.Work})
+		if part := Tipped(&w, a.At, a.Born, a.Cores, t.ColdFrom, t.Warm, t.Tip, t.Fall); part > r.Worst {
+			r.Worst, r.Where = part, fmt.Sprintf("host %s, %.1f s after its start", a.Host, (a.At-a.Born)/1000)
+		}
+		work[a.Host] = w
+	}
+	r.Kept = r.Worst < r.Limit
+	return r
+}
+
+// queue is the fifth, as seen from outside: a version's lines wait from when it was ordered until they come.
+func (b *Book) queue(t Terms) Rule {
+	r := Rule{Name: "a short queue", Kept: true, Limit: t.Queue, Unit: "lines"}
+	type edge struct{ at, lines float64 }
+	var edges []edge
+	for _, h := range b.Helds {
+		if h.Doc != nil && !h.Whole && h.Doc.At < h.At {
+			lines := float64(h.Lines) + t.Head
+			edges = append(edges, edge{h.Doc.At, lines}, edge{h.At, -lines})
+		}
+	}
+	slices.SortStableFunc(edges, func(a, c edge) int { return before(a.at, c.at) })
+	waiting := 0.0
+	for _, e := range edges {
+		if waiting += e.lines; waiting > r.Worst {
+			r.Worst, r.Where = waiting, fmt.Sprintf("%.1f s into the day", (e.at-t.From)/1000)
+		}
+	}
+	r.Kept = r.Worst <= r.Limit
+	return r
+}
+
+func (b *Book) messages(t Terms) Rule {
+	r := Rule{Name: "the message limit", Kept: true, Limit: float64(t.Messages), Unit: "messages"}
+	times := map[string][]float64{}
+	for _, h := range b.Helds {
+		if h.Doc == nil || h.Whole {
+			continue
+		}
+		all := append(times[h.Proxy], h.At)
+		for h.At-all[0] > t.MessageSpan {
+			all = all[1:]
+		}
+		if times[h.Proxy] = all; float64(len(all)) > r.Worst {
+			r.Worst, r.Where = float64(len(all)), "proxy "+h.Proxy
+		}
+	}
+	r.Kept = t.Messages == 0 || r.Worst <= r.Limit
+	return r
+}
+
+func (b *Book) service(t Terms, v *Verdict) {
+	type sum struct{ got, asked float64 }
+	var whole sum
+	routes, tens := map[string]*sum{}, map[int]*sum{}
+	var took []float64
+	for _, o := range b.Outcomes {
+		route := t.Routes[o.Route]
+		got := 0.0
+		v.Calls++
+		switch {
+		case o.Throttled:
+			v.Throttled++
+		case !o.Answered:
+			v.Dropped++
+		default:
+			v.Answered++
+			took = append(took, o.Took)
+			if o.Took <= route.SLOMs {
+				got = route.Importance
+			} else if o.Took <= route.TimeLimitMs {
+				got = route.Importance * t.LateShare[o.Route]
+			}
+		}
+		at := int((o.At - o.Took - t.From) / 10000)
+		if routes[o.Route] == nil {
+			routes[o.Route] = &sum{}
+		}
+		if tens[at] == nil {
+			tens[at] = &sum{}
+		}
+		for _, s := range []*sum{&whole, routes[o.Route], tens[at]} {
+			s.got, s.asked = s.got+got, s.asked+route.Importance
+		}
+	}
+	v.Service, v.WorstTen, v.ByRoute = whole.got/max(1e-9, whole.asked), 1, map[string]float64{}
+	for name, s := range routes {
+		v.ByRoute[name] = s.got / max(1e-9, s.asked)
+	}
+	for _, s := range tens {
+		if s.asked > whole.asked/100 {
+			v.WorstTen = min(v.WorstTen, s.got/s.asked)
+		}
+	}
+	if slices.Sort(took); len(took) > 0 {
+		v.MedianMs, v.P99Ms = took[len(took)/2], took[len(took)*99/100]
+	}
+}
+
+// versions counts what proxies held, and whether any was ever sent back.
+func (b *Book) versions(v *Verdict) {
+	last, seen := map[string]*tables.Document{}, map[string]bool{}
+	for _, h := range b.Helds {
+		if h.Doc == nil {
+			continue
+		}
+		if was := last[h.Proxy]; was != nil && was.Line == h.Doc.Line && h.Doc.Step < was.Step {
+			v.Backwards++
+		}
+		if h.Whole {
+			v.Whole++
+		} else {
+			v.Deltas++
+		}
+		last[h.Proxy], seen[h.Doc.Version] = h.Doc, true
+	}
+	v.Steps = len(seen)
+}
--- /dev/null
+++ b/internal/lrs/lrs.go
@@ -0,0 +1,158 @@
+// Package lrs is the form of proxies' sums: the JSON mapping of the published Load Reporting Service's
+// LoadStatsRequest, as far as it is used here. A route is a cluster, a slice or table its cluster_service_name.
+package lrs
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+
+	"vetchwood/internal/control"
+	"vetchwood/internal/orca"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// Count is a 64-bit number, which the JSON mapping writes as a string and reads as either.
+type Count uint64
+
+func (c Count) MarshalJSON() ([]byte, error) {
+	return strconv.AppendQuote(nil, strconv.FormatUint(uint64(c), 10)), nil
+}
+
+func (c *Count) UnmarshalJSON(b []byte) error {
+	n, err := strconv.ParseUint(string(bytes.Trim(b, `"`)), 10, 53)
+	if err != nil {
+		return fmt.Errorf("%.30s is no count", b)
+	}
+	*c = Count(n)
+	return nil
+}
+
+type (
+	Request struct {
+		Node         Node      `json:"node"`
+		ClusterStats []Cluster `json:"cluster_stats"`
+	}
+	Node struct {
+		ID       string   `json:"id"`
+		Locality Locality `json:"locality"`
+	}
+	Locality struct {
+		Zone string `json:"zone,omitempty"`
+	}
+	Cluster struct {
+		Name               string     `json:"cluster_name"`
+		ServiceName        string     `json:"cluster_service_name,omitempty"`
+		Localities         []Upstream `json:"upstream_locality_stats,omitempty"`
+		TotalDropped       Count      `json:"total_dropped_requests,omitempty"`
+		LoadReportInterval string     `json:"load_report_interval,omitempty"`
+	}
+	Upstream struct {
+		Locality  Locality   `json:"locality"`
+		Endpoints []Endpoint `json:"upstream_endpoint_stats,omitempty"`
+		Metrics   []Metric   `json:"load_metric_stats,omitempty"`
+	}
+	Endpoint struct {
+		Address    Address  `json:"address"`
+		Successful Count    `json:"total_successful_requests"`
+		Errors     Count    `json:"total_error_requests"`
+		Issued     Count    `json:"total_issued_requests"`
+		Metrics    []Metric `json:"load_metric_stats,omitempty"`
+	}
+	Address struct {
+		Socket Socket `json:"socket_address"`
+	}
+	Socket struct {
+		Address string `json:"address"`
+		Port    int    `json:"port_value"`
+	}
+	Metric struct {
+		Name     string  `json:"metric_name"`
+		Finished Count   `json:"num_requests_finished_with_metric"`
+		Total    float64 `json:"total_metric_value"`
+	}
+)
+
+// Metrics of our own, beside those of orca: the time of answers at an endpoint, and at a locality the calls
+// that came for the route (tries are counted at endpoints), and those let in that got no answer.
+const (
+	Spent      = "vetchwood.answer_ms"
+	Calls      = "vetchwood.calls"
+	Unanswered = "vetchwood.unanswered"
+)
+
+// At makes the address of a host.
+func At(a tables.Address) (Address, error) {
+	p, err := netip.ParseAddrPort(string(a))
+	return Address{Socket{p.Addr().String(), int(p.Port())}}, err
+}
+
+// Read turns a body into a report. Every error names the place.
+func Read(body []byte) (r control.Report, err error) {
+	var q Request
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if err := dec.Decode(&q); err != nil {
+		return r, fmt.Errorf("load stats: %w", err)
+	}
+	if dec.More() {
+		return r, fmt.Errorf("load stats: more than one JSON value")
+	}
+	r.Proxy = q.Node.ID
+	for i, c := range q.ClusterStats {
+		calls := control.RouteCalls{Route: c.Name, Table: c.ServiceName}
+		for j, u := range c.Localities {
+			at := fmt.Sprintf("cluster_stats[%d].upstream_locality_stats[%d]", i, j)
+			for _, m := range u.Metrics {
+				if !(m.Total >= 0) || m.Total > 1e9 {
+					return r, fmt.Errorf("load stats: %s: metric %.40q: %v is out of range", at, m.Name, m.Total)
+				}
+				switch m.Name {
+				case Calls:
+					calls.Calls += int(m.Total)
+				case Unanswered:
+					calls.Lost += int(m.Total)
+				}
+			}
+			for k, e := range u.Endpoints {
+				tries, err := e.read()
+				if err != nil {
+					return r, fmt.Errorf("load stats: %s.upstream_endpoint_stats[%d]: %w", at, k, err)
+				}
+				r.Tries = append(r.Tries, tries)
+			}
+		}
+		if calls.Calls > 0 || calls.Lost > 0 {
+			r.Calls = append(r.Calls, calls)
+		}
+	}
+	return r, nil
+}
+
+func (e Endpoint) read() (t control.HostTries, err error) {
+	ip, err := netip.ParseAddr(e.Address.Socket.Address)
+	if err != nil || e.Address.Socket.Port < 1 || e.Address.Socket.Port > 65535 {
+		return t, fmt.Errorf("address %.40q, port %d: no socket address", e.Address.Socket.Address, e.Address.Socket.Port)
+	}
+	if e.Successful > 1e9 || e.Errors > 1e9 {
+		return t, fmt.Errorf("more than 1e9 requests")
+	}
+	t = control.HostTries{Address: tables.Address(netip.AddrPortFrom(ip, uint16(e.Address.Socket.Port)).String()),
+		Ended: int(e.Successful + e.Errors), Lost: int(e.Errors)}
+	var load logic.Load
+	for _, m := range e.Metrics {
+		if math.IsNaN(m.Total) || m.Total < 0 || m.Total > 1e12 {
+			return t, fmt.Errorf("metric %.40q: %v is out of range", m.Name, m.Total)
+		}
+		if m.Name == Spent {
+			t.Spent = m.Total
+		} else if m.Finished > 0 {
+			orca.Set(&load, m.Name, m.Total/float64(m.Finished))
+		}
+	}
+	t.Load = load
+	return t, nil
+}
--- /dev/null
+++ b/internal/rehearse/script.go
@@ -0,0 +1,167 @@
+// Package rehearse raises a director and stand-ins on this machine, plays a scripted day on real sockets, and
+// has the five rules judged from what was seen there.
+package rehearse
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"vetchwood/internal/settings"
+)
+
+//go:embed days
+var days embed.FS
+
+// Script is a day as it is written down.
+type Script struct {
+	Length        time.Duration // 0: until a signal
+	Director      string        // text of the director's settings, a template
+	Listen, Admin string
+	Fleet         Fleet
+	Load          Load
+	Routes        []RouteLoad
+	Troubles      []Trouble
+}
+
+// Fleet is what is raised.
+type Fleet struct {
+	Hosts, Cores, Queue, PerCell, Proxies int
+	ListDelay                             time.Duration
+}
+
+// Load is what callers ask for.
+type Load struct {
+	From, Peak float64 // calls a second
+	Rise       time.Duration
+	Keys       int
+}
+
+// RouteLoad is a route's part of it.
+type RouteLoad struct {
+	Name  string
+	Share float64
+	Work  time.Duration
+}
+
+// Trouble is one, by its kind.
+type Trouble struct {
+	Kind                  string
+	At, Last, Drain       time.Duration
+	Hosts, Proxies, Batch int
+	Times                 float64
+	Part                  float64
+}
+
+// kinds of trouble and what each needs.
+var kinds = map[string][]string{
+	"die":             {"hosts", "last"},
+	"silent":          {"hosts", "last"},
+	"hang":            {"hosts", "last"},
+	"slow":            {"hosts", "last", "times"},
+	"lose_answers":    {"hosts", "last", "part"},
+	"deploy":          {"hosts", "batch", "drain"},
+	"list_wrong":      {"hosts", "last"},
+	"list_empty":      {"last"},
+	"list_away":       {"last"},
+	"kill_director":   {"last"},
+	"restart_proxies": {"proxies", "last"},
+	"stale_proxies":   {"proxies", "last"},
+}
+
+// Find reads a day that comes with the program, or a file.
+func Find(name string) (*Script, error) {
+	text, err := days.ReadFile("days/" + name + ".hcl")
+	dir, file := "", name+".hcl"
+	if errors.Is(err, fs.ErrNotExist) {
+		dir, file = filepath.Dir(name), name
+		if text, err = os.ReadFile(name); err != nil {
+			return nil, fmt.Errorf("no day %q comes with the program, and: %w", name, err)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return read(file, text, dir)
+}
+
+func read(file string, text []byte, dir string) (*Script, error) {
+	top, err := settings.Open(file, text)
+	if err != nil {
+		return nil, err
+	}
+	top.Name = "the file"
+	s := &Script{}
+	r := top.One("day", true)
+	s.Length = r.Span("length", -1, 0, 24*time.Hour)
+	s.Listen, s.Admin = r.Text("listen", "127.0.0.1:0"), r.Text("admin", "127.0.0.1:0")
+	if name := r.Text("director", settings.Needed); name != "" {
+		text, err := days.ReadFile("days/" + name)
+		if dir != "" {
+			if own, failed := os.ReadFile(filepath.Join(dir, name)); failed == nil {
+				text, err = own, nil
+			}
+		}
+		if s.Director = string(text); err != nil {
+			r.Fail("director", "no such file: %s", name)
+		}
+	}
+	f := r.One("fleet", true)
+	s.Fleet = Fleet{Hosts: f.Whole("hosts", 0, 1, 1000), Cores: f.Whole("cores", 4, 1, 64), Queue: f.Whole("queue", 16, 0, 10000),
+		PerCell: f.Whole("per_cell", 2, 1, 100), Proxies: f.Whole("proxies", 0, 1, 5000),
+		ListDelay: f.Span("list_delay", 0, 0, time.Minute)}
+	f.Done()
+	l := r.One("load", true)
+	s.Load = Load{From: l.Number("calls_per_second", 0, 0, 1e5), Peak: l.Number("peak", 0, 0, 1e5),
+		Rise: l.Span("rise_over", time.Second, time.Millisecond, time.Hour), Keys: l.Whole("keys", 1000, 1, 1e7)}
+	l.Done()
+	share := 0.0
+	routes, names := r.Blocks("route", 1, 1, 63)
+	for i, in := range routes {
+		s.Routes = append(s.Routes, RouteLoad{Name: names[i], Share: in.Number("share", 0, 0, 1),
+			Work: in.Span("work", -1, time.Millisecond, time.Minute)})
+		share += s.Routes[i].Share
+		in.Done()
+	}
+	if share < 0.999 || share > 1.001 {
+		r.Fail("", "the shares of the routes add up to %.3f, not to 1", share)
+	}
+	troubles, names := r.Repeated("trouble")
+	for i, in := range troubles {
+		t := Trouble{Kind: names[i], At: in.Span("at", -1, 0, 24*time.Hour)}
+		needs, known := kinds[t.Kind]
+		if !known {
+			in.Fail("", "no trouble is called %q", t.Kind)
+		}
+		for _, need := range needs {
+			switch need {
+			case "hosts":
+				t.Hosts = in.Whole("hosts", 0, 1, s.Fleet.Hosts)
+			case "proxies":
+				t.Proxies = in.Whole("proxies", 0, 1, s.Fleet.Proxies)
+			case "batch":
+				t.Batch = in.Whole("batch", 0, 1, s.Fleet.Hosts)
+			case "last":
+				t.Last = in.Span("last", -1, time.Millisecond, time.Hour)
+			case "drain":
+				t.Drain = in.Span("drain", -1, time.Millisecond, time.Hour)
+			case "times":
+				t.Times = in.Number("times", 2, 1, 100)
+			case "part":
+				t.Part = in.Number("part", 0.2, 0, 1)
+			}
+		}
+		if s.Length > 0 && t.At >= s.Length {
+			in.Fail("at", "%v is past the end of the day, %v", t.At, s.Length)
+		}
+		in.Done()
+		s.Troubles = append(s.Troubles, t)
+	}
+	r.Done()
+	top.Done()
+	return s, top.Err()
+}
--- /dev/null
+++ b/internal/rehearse/stage.go
@@ -0,0 +1,531 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"text/template"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"vetchwood/internal/judge"
+	"vetchwood/internal/settings"
+	"vetchwood/internal/standin"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// stage is a raised fleet.
+type stage struct {
+	script   *Script
+	running  *settings.Running
+	book     *judge.Book
+	log      *slog.Logger
+	dir      string
+	file     string
+	command  func(file string) *exec.Cmd
+	registry *standin.Registry
+	epoch    time.Time
+
+	mu       sync.Mutex
+	hosts    []*member
+	spare    int // hosts born so far, for new ids
+	callers  []*relay
+	director *exec.Cmd
+	ended    chan error // of the director at hand
+	killed   bool
+	memories map[string]*standin.Memory
+	busy     sync.WaitGroup
+	random   *rand.Rand
+	most     float64 // watermark of the channel, over all lives of the director
+	dense    float64
+}
+
+type member struct {
+	*standin.Host
+	id, zone, cell string
+	troubled       bool
+}
+
+type relay struct {
+	*standin.Caller
+	stop context.CancelFunc
+	done chan struct{}
+	life context.Context
+}
+
+func (s *stage) now() float64 {
+	return float64(s.epoch.UnixMicro())/1000 + float64(time.Since(s.epoch).Nanoseconds())/1e6
+}
+
+func freePort() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// raise starts all that a day needs, and returns once every proxy holds tables.
+func raise(ctx context.Context, script *Script, dir string, command func(string) *exec.Cmd, log *slog.Logger) (s *stage, err error) {
+	s = &stage{script: script, book: &judge.Book{}, log: log, dir: dir, command: command, epoch: time.Now(),
+		memories: map[string]*standin.Memory{}, random: rand.New(rand.NewPCG(1, 2))}
+	defer func() {
+		if err != nil {
+			s.lower()
+		}
+	}()
+	if s.registry, err = standin.NewRegistry("127.0.0.1:0", s.book, s.now, script.Fleet.ListDelay); err != nil {
+		return s, err
+	}
+	fill := map[string]string{"Store": filepath.Join(dir, "director.db"), "Roster": s.registry.URL(),
+		"Listen": script.Listen, "Admin": script.Admin}
+	for _, at := range []string{"Listen", "Admin"} {
+		if _, port, _ := net.SplitHostPort(fill[at]); port == "0" {
+			if fill[at], err = freePort(); err != nil {
+				return s, err
+			}
+		}
+	}
+	t, err := template.New("director.hcl").Option("missingkey=error").Parse(script.Director)
+	if err != nil {
+		return s, err
+	}
+	var text bytes.Buffer
+	if err = t.Execute(&text, fill); err != nil {
+		return s, err
+	}
+	s.file = filepath.Join(dir, "director.hcl")
+	if err = os.WriteFile(s.file, text.Bytes(), 0o600); err != nil {
+		return s, err
+	}
+	if s.running, err = settings.Load(s.file); err != nil {
+		return s, err
+	}
+	for range script.Fleet.Hosts {
+		if _, err = s.addHost(true); err != nil {
+			return s, err
+		}
+	}
+	if err = s.startDirector(); err != nil {
+		return s, err
+	}
+	for i := range script.Fleet.Proxies {
+		zones := s.running.Service.Zones
+		c := &standin.Caller{Name: "relay-" + strconv.Itoa(i+1), Zone: zones[i%len(zones)], Director: "http://" + s.running.Listen,
+			Rate: script.Load.Peak / float64(script.Fleet.Proxies), Report: time.Duration(float64(s.running.Service.Facts.ReportEvery) * float64(time.Millisecond)),
+			WaitsForTable: 500 * time.Millisecond, Book: s.book, Now: s.now, Log: log}
+		r := &relay{Caller: c}
+		s.callers = append(s.callers, r)
+		s.startCaller(r, nil)
+	}
+	return s, s.await(ctx)
+}
+
+// await waits until every proxy has lines for every table.
+func (s *stage) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	for {
+		ready := 0
+		for _, r := range s.callers {
+			if d := r.Held(); d != nil && len(d.Tables) > 0 && full(d) {
+				ready++
+			}
+		}
+		if ready == len(s.callers) {
+			return nil
+		}
+		select {
+		case err := <-s.ended:
+			return fmt.Errorf("the director ended while the fleet was raised: %v; see %s", err, s.logFile())
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d proxies held tables in time; see %s", ready, len(s.callers), s.logFile())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func full(d *tables.Document) bool {
+	for _, t := range d.Tables {
+		if len(t.Lines) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *stage) lower() {
+	for _, r := range s.callers {
+		if r.stop != nil {
+			r.stop()
+			<-r.done
+		}
+	}
+	s.stopDirector(syscall.SIGTERM)
+	for _, h := range s.hosts {
+		h.Die()
+	}
+	if s.registry != nil {
+		s.registry.Close()
+	}
+	s.busy.Wait()
+}
+
+// addHost starts a new host. One that comes after the day's start is cold.
+func (s *stage) addHost(warm bool) (*member, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, fleet := s.running.Service.Facts, s.script.Fleet
+	n := s.spare
+	s.spare++
+	zones := s.running.Service.Zones
+	zone := zones[n/fleet.PerCell%len(zones)]
+	cell := fmt.Sprintf("%s-%d", zone, n/fleet.PerCell)
+	if s.memories[cell] == nil {
+		span := time.Duration(0)
+		for _, r := range f.Routes {
+			span = max(span, time.Duration(float64(r.RepeatSpan)*float64(time.Millisecond)))
+		}
+		s.memories[cell] = standin.NewMemory(span)
+	}
+	m := &member{id: fmt.Sprintf("host-%02d", n+1), zone: zone, cell: cell}
+	m.Host = standin.NewHost(standin.HostShape{Cores: fleet.Cores, Queue: fleet.Queue, ColdFrom: f.ColdFrom,
+		Warm: span(f.WarmAfter), Tip: f.TipMultiple, Fall: span(f.FallAfter), Memory: s.memories[cell], Book: s.book,
+		Now: s.now}, "")
+	if err := m.Start(warm); err != nil {
+		return nil, err
+	}
+	s.hosts = append(s.hosts, m)
+	s.registry.Put(m.id, m.Address, m.zone, m.cell, m.Born())
+	return m, nil
+}
+
+func span(ms logic.Millis) time.Duration {
+	return time.Duration(float64(ms) * float64(time.Millisecond))
+}
+
+func (s *stage) logFile() string { return filepath.Join(s.dir, "director.log") }
+
+func (s *stage) startDirector() error {
+	log, err := os.OpenFile(s.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.director = s.command(s.file)
+	s.director.Stderr = log
+	if err := s.director.Start(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func(c *exec.Cmd) { ended <- c.Wait() }(s.director)
+	s.ended = ended
+	return nil
+}
+
+// stopDirector ends it with a signal, after a last look at its figures.
+func (s *stage) stopDirector(sig os.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.director == nil {
+		return
+	}
+	s.readFigures()
+	s.director.Process.Signal(sig)
+	select {
+	case <-s.ended:
+	case <-time.After(5 * time.Second):
+		s.director.Process.Kill()
+		<-s.ended
+	}
+	s.director = nil
+}
+
+func (s *stage) readFigures() {
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get("http://" + s.running.Admin + "/metrics")
+	if err != nil {
+		return
+	}
+	defer res.Body.Close()
+	var b bytes.Buffer
+	b.ReadFrom(res.Body)
+	s.most = math.Max(s.most, metric(b.Bytes(), "vetchwood_channel_most_lines"))
+	s.dense = math.Max(s.dense, metric(b.Bytes(), "vetchwood_messages_most"))
+}
+
+func metric(text []byte, name string) float64 {
+	for line := range bytes.Lines(text) {
+		if rest, found := bytes.CutPrefix(line, []byte(name+" ")); found {
+			v, _ := strconv.ParseFloat(string(bytes.TrimSpace(rest)), 64)
+			return v
+		}
+	}
+	return 0
+}
+
+func (s *stage) startCaller(r *relay, held *tables.Document) {
+	r.life, r.stop = context.WithCancel(context.Background())
+	r.done = make(chan struct{})
+	started := make(chan struct{})
+	go func() {
+		defer close(r.done)
+		c := r.Caller
+		close(started)
+		c.Run(r.life, held)
+	}()
+	<-started
+}
+
+// call makes up calls at a proxy until the day ends: arrivals come by themselves and wait for no answer.
+func (s *stage) call(ctx context.Context, i int) {
+	defer s.busy.Done()
+	script, n := s.script, float64(len(s.callers))
+	draw := rand.New(rand.NewPCG(uint64(i), 7))
+	zipf := rand.NewZipf(draw, 1.1, 20, uint64(script.Load.Keys-1))
+	at := time.Now()
+	for serial := 0; ; serial++ {
+		part := math.Min(1, float64(time.Since(s.epoch))/float64(script.Load.Rise))
+		rate := (script.Load.From + (script.Load.Peak-script.Load.From)*part) / n
+		at = at.Add(time.Duration(draw.ExpFloat64() / rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(at)):
+		}
+		route := script.Routes[len(script.Routes)-1]
+		for at, x := 0, draw.Float64(); at < len(script.Routes); at++ {
+			if x -= script.Routes[at].Share; x < 0 {
+				route = script.Routes[at]
+				break
+			}
+		}
+		call := standin.Call{ID: fmt.Sprintf("%d-%d", i, serial), Route: route.Name,
+			Key: "key-" + strconv.FormatUint(zipf.Uint64(), 10), Work: float64(route.Work.Milliseconds()) * (0.5 + draw.Float64())}
+		s.mu.Lock()
+		r := s.callers[i]
+		life := r.life
+		s.mu.Unlock()
+		if life.Err() != nil {
+			continue // the proxy is down; its clients go to others
+		}
+		s.busy.Add(1)
+		go func() {
+			defer s.busy.Done()
+			r.Make(life, call)
+		}()
+	}
+}
+
+// pick takes hosts that are in no trouble, at random but the same each time.
+func (s *stage) pick(n int) (out []*member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.random.Perm(len(s.hosts)) {
+		if h := s.hosts[i]; len(out) < n && !h.troubled {
+			h.troubled = true
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (s *stage) well(hosts ...*member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range hosts {
+		h.troubled = false
+	}
+}
+
+func (s *stage) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func ids(hosts []*member) (out string) {
+	for _, h := range hosts {
+		out += " " + h.id
+	}
+	return out
+}
+
+// trouble plays one to its end.
+func (s *stage) trouble(ctx context.Context, t Trouble, say func(string)) error {
+	if !s.sleep(ctx, t.At-time.Since(s.epoch)) {
+		return nil
+	}
+	switch t.Kind {
+	case "die", "silent":
+		hosts := s.pick(t.Hosts)
+		say(t.Kind + ":" + ids(hosts))
+		for _, h := range hosts {
+			if t.Kind == "die" {
+				h.Die()
+				s.registry.State(h.id, logic.Gone)
+			} else {
+				h.Set(standin.HostFaults{Silent: true})
+			}
+		}
+		if t.Kind == "silent" { // the list takes long to notice a machine that says nothing
+			noticed := min(5*time.Second, t.Last/2)
+			if !s.sleep(ctx, noticed) {
+				return nil
+			}
+			for _, h := range hosts {
+				s.registry.State(h.id, logic.Gone)
+			}
+			t.Last -= noticed
+		}
+		if !s.sleep(ctx, t.Last) {
+			return nil
+		}
+		for _, h := range hosts {
+			h.Die()
+			if err := s.again(h); err != nil {
+				return err
+			}
+		}
+		say("back, cold:" + ids(hosts))
+		s.well(hosts...)
+	case "hang", "slow", "lose_answers":
+		hosts := s.pick(t.Hosts)
+		say(t.Kind + ":" + ids(hosts))
+		for _, h := range hosts {
+			h.Set(standin.HostFaults{Hang: t.Kind == "hang", Slow: t.Times, LoseAnswer: t.Part})
+		}
+		s.sleep(ctx, t.Last)
+		for _, h := range hosts {
+			h.Set(standin.HostFaults{})
+		}
+		say("over: " + t.Kind)
+		s.well(hosts...)
+	case "deploy":
+		hosts := s.pick(t.Hosts)
+		for len(hosts) > 0 {
+			batch := hosts[:min(t.Batch, len(hosts))]
+			hosts = hosts[len(batch):]
+			say("drain:" + ids(batch))
+			for _, h := range batch {
+				s.registry.State(h.id, logic.Draining)
+			}
+			if !s.sleep(ctx, t.Drain) {
+				return nil
+			}
+			for _, h := range batch {
+				h.Die()
+				s.registry.Remove(h.id)
+				if m, err := s.addHost(false); err != nil {
+					return err
+				} else {
+					say("new, cold: " + m.id)
+				}
+			}
+		}
+	case "list_wrong":
+		missing := s.pick(t.Hosts)
+		gone := map[string]bool{}
+		for _, h := range missing {
+			gone[h.id] = true
+		}
+		say("the list forgets" + ids(missing) + " and names hosts that are none of ours")
+		s.registry.Wrong(func(all []*api.ServiceEntry) (out []*api.ServiceEntry) {
+			for _, e := range all {
+				if !gone[e.Service.ID] {
+					out = append(out, e)
+				}
+			}
+			for i := range t.Hosts {
+				ghost := *all[0]
+				service := *ghost.Service
+				service.ID, service.Port = "ghost-"+strconv.Itoa(i), 1+i
+				ghost.Service = &service
+				out = append(out, &ghost)
+			}
+			return out
+		})
+		s.sleep(ctx, t.Last)
+		s.registry.Wrong(nil)
+		say("the list is right again")
+		s.well(missing...)
+	case "list_empty":
+		say("the list is empty")
+		s.registry.Wrong(func([]*api.ServiceEntry) []*api.ServiceEntry { return nil })
+		s.sleep(ctx, t.Last)
+		s.registry.Wrong(nil)
+	case "list_away":
+		say("the list is away")
+		s.registry.Away(true)
+		s.sleep(ctx, t.Last)
+		s.registry.Away(false)
+	case "kill_director":
+		say("the director is killed")
+		s.stopDirector(syscall.SIGKILL)
+		if !s.sleep(ctx, t.Last) {
+			return nil
+		}
+		say("the director starts over")
+		return s.startDirector()
+	case "restart_proxies":
+		say(fmt.Sprintf("%d proxies restart together", t.Proxies))
+		s.mu.Lock()
+		some := s.callers[:t.Proxies]
+		s.mu.Unlock()
+		for _, r := range some {
+			r.stop()
+			<-r.done
+		}
+		s.sleep(ctx, t.Last)
+		s.mu.Lock()
+		for _, r := range some {
+			s.startCaller(r, nil)
+		}
+		s.mu.Unlock()
+	case "stale_proxies":
+		say(fmt.Sprintf("%d proxies lose their director", t.Proxies))
+		s.mu.Lock()
+		for i := range t.Proxies {
+			s.callers[len(s.callers)-1-i].Cut(t.Last)
+		}
+		s.mu.Unlock()
+		s.sleep(ctx, t.Last)
+		say("the stale proxies come back")
+	}
+	return nil
+}
+
+// again starts a host anew at its address, cold, and lists it.
+func (s *stage) again(h *member) error {
+	for tries := 0; ; tries++ {
+		err := h.Start(false)
+		if err == nil {
+			break
+		}
+		if tries > 20 {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.registry.Put(h.id, h.Address, h.zone, h.cell, h.Born())
+	return nil
+}
--- /dev/null
+++ b/internal/standin/registry.go
@@ -0,0 +1,210 @@
+package standin
+
+import (
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"vetchwood/internal/judge"
+	"vetchwood/internal/roster"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// Registry is a stand-in for the list of hosts: Consul's published HTTP interface, as far as its official client
+// uses it here. It can be late, wrong, empty, away, and start over with a lower index.
+type Registry struct {
+	Book  *judge.Book
+	Now   func() float64
+	Delay time.Duration // before a change shows
+
+	mu      sync.Mutex
+	index   uint64
+	entries map[string]*api.ServiceEntry
+	shown   []*api.ServiceEntry
+	wrong   func([]*api.ServiceEntry) []*api.ServiceEntry
+	away    bool
+	changed chan struct{}
+	srv     *http.Server
+	ln      net.Listener
+}
+
+// NewRegistry listens.
+func NewRegistry(address string, book *judge.Book, now func() float64, delay time.Duration) (*Registry, error) {
+	r := &Registry{Book: book, Now: now, Delay: delay, index: 100, entries: map[string]*api.ServiceEntry{},
+		changed: make(chan struct{})}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/health/service/{name}", r.health)
+	mux.HandleFunc("PUT /v1/agent/service/register", r.register)
+	mux.HandleFunc("PUT /v1/agent/service/deregister/{id}", func(w http.ResponseWriter, q *http.Request) {
+		r.Remove(q.PathValue("id"))
+	})
+	mux.HandleFunc("PUT /v1/agent/service/maintenance/{id}", func(w http.ResponseWriter, q *http.Request) {
+		state := logic.Up
+		if q.URL.Query().Get("enable") == "true" {
+			state = logic.Draining
+		}
+		r.State(q.PathValue("id"), state)
+	})
+	r.ln, r.srv = ln, &http.Server{Handler: mux}
+	go r.srv.Serve(ln)
+	return r, nil
+}
+
+func (r *Registry) URL() string { return "http://" + r.ln.Addr().String() }
+func (r *Registry) Close()      { r.srv.Close() }
+
+// Put lists a host, or lists it anew after a start.
+func (r *Registry) Put(id string, a tables.Address, zone, cell string, born float64) {
+	host, port, _ := net.SplitHostPort(string(a))
+	n, _ := strconv.Atoi(port)
+	r.change(func() {
+		meta := map[string]string{roster.MetaZone: zone, roster.MetaCell: cell}
+		if born > 0 {
+			meta[roster.MetaStarted] = strconv.FormatFloat(born, 'f', 3, 64)
+		}
+		r.entries[id] = entry(&api.AgentService{ID: id, Service: "hosts", Address: host, Port: n, Meta: meta,
+			Weights: api.AgentWeights{Passing: 1, Warning: 1}}, logic.Up)
+	})
+}
+
+func entry(s *api.AgentService, state logic.HostState) *api.ServiceEntry {
+	check := &api.HealthCheck{Node: "node", CheckID: "service:" + s.ID, ServiceID: s.ID, Status: api.HealthPassing}
+	e := &api.ServiceEntry{Node: &api.Node{Node: "node", Address: "127.0.0.1"}, Service: s, Checks: api.HealthChecks{check}}
+	switch state {
+	case logic.Draining:
+		e.Checks = append(e.Checks, &api.HealthCheck{Node: "node", CheckID: roster.Maintenance + s.ID, ServiceID: s.ID,
+			Status: api.HealthCritical})
+	case logic.Gone:
+		check.Status = api.HealthCritical
+	}
+	return e
+}
+
+// State says that a host drains, is up or fails its check.
+func (r *Registry) State(id string, state logic.HostState) {
+	r.change(func() {
+		if e := r.entries[id]; e != nil {
+			r.entries[id] = entry(e.Service, state)
+		}
+	})
+}
+
+// Remove takes a host off the list.
+func (r *Registry) Remove(id string) { r.change(func() { delete(r.entries, id) }) }
+
+// Wrong makes what is shown differ from what is so; nil ends it.
+func (r *Registry) Wrong(f func([]*api.ServiceEntry) []*api.ServiceEntry) {
+	r.change(func() { r.wrong = f })
+}
+
+// Away stops all answers, or starts them again, with a lower index.
+func (r *Registry) Away(away bool) {
+	r.mu.Lock()
+	r.away = away
+	if !away {
+		r.index = 3
+	}
+	r.wake()
+	r.mu.Unlock()
+}
+
+func (r *Registry) change(f func()) {
+	r.mu.Lock()
+	f()
+	r.mu.Unlock()
+	time.AfterFunc(r.Delay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.shown = nil
+		for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+			r.shown = append(r.shown, r.entries[id])
+		}
+		if r.wrong != nil {
+			r.shown = r.wrong(r.shown)
+		}
+		r.wake()
+	})
+}
+
+func (r *Registry) wake() {
+	r.index++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Registry) health(w http.ResponseWriter, q *http.Request) {
+	since, _ := strconv.ParseUint(q.URL.Query().Get("index"), 10, 64)
+	wait, err := time.ParseDuration(q.URL.Query().Get("wait"))
+	if err != nil || wait <= 0 {
+		wait = 5 * time.Minute
+	}
+	end := time.After(wait)
+	r.mu.Lock()
+	for since > 0 && since >= r.index && !r.away {
+		changed := r.changed
+		r.mu.Unlock()
+		select {
+		case <-changed:
+		case <-end:
+			since = 0
+		case <-q.Context().Done():
+			return
+		}
+		r.mu.Lock()
+	}
+	if r.away {
+		r.mu.Unlock()
+		http.Error(w, "rpc error: No cluster leader", http.StatusInternalServerError)
+		return
+	}
+	body, err := json.Marshal(append([]*api.ServiceEntry{}, r.shown...))
+	told := judge.Told{At: r.Now()}
+	for _, e := range r.shown {
+		h := judge.ToldHost{Address: tables.Address(net.JoinHostPort(e.Service.Address, strconv.Itoa(e.Service.Port)))}
+		h.Born, _ = strconv.ParseFloat(e.Service.Meta[roster.MetaStarted], 64)
+		for _, c := range e.Checks {
+			if strings.HasPrefix(c.CheckID, roster.Maintenance) {
+				h.State = logic.Draining
+			} else if c.Status == api.HealthCritical && h.State == logic.Up {
+				h.State = logic.Gone
+			}
+		}
+		told.Hosts = append(told.Hosts, h)
+	}
+	index := r.index
+	r.mu.Unlock()
+	if err != nil {
+		slog.Error("registry", "error", err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	if _, err := w.Write(body); err == nil && r.Book != nil {
+		r.Book.Tell(told)
+	}
+}
+
+func (r *Registry) register(w http.ResponseWriter, q *http.Request) {
+	var in api.AgentServiceRegistration
+	if err := json.NewDecoder(q.Body).Decode(&in); err != nil || in.ID == "" || in.Port == 0 {
+		http.Error(w, "invalid registration", http.StatusBadRequest)
+		return
+	}
+	born, _ := strconv.ParseFloat(in.Meta[roster.MetaStarted], 64)
+	r.Put(in.ID, tables.Address(net.JoinHostPort(in.Address, strconv.Itoa(in.Port))), in.Meta[roster.MetaZone],
+		in.Meta[roster.MetaCell], born)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,168 @@
+// Package store keeps a director's state on disk, so that what proxies were told outlives a kill. One file, one
+// process; each write is durable when it returns.
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"vetchwood/internal/control"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+var (
+	meta    = []byte("meta")
+	tableOf = []byte("tables")
+	bound   = []byte("bound")
+	buckets = [][]byte{meta, tableOf, bound}
+)
+
+// Store is an open file.
+type Store struct{ db *bbolt.DB }
+
+// Open opens or makes the file.
+func Open(path string) (*Store, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: 3 * time.Second, FreelistType: bbolt.FreelistMapType})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return nil, fmt.Errorf("store %s: another process holds it", path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("store %s: %w", path, err)
+	}
+	s := &Store{db}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		for _, b := range buckets {
+			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+				return err
+			}
+		}
+		if tx.Bucket(meta).Get([]byte("line")) == nil {
+			return put(tx.Bucket(meta), "line", tables.Line(rand.Uint64()))
+		}
+		return nil
+	})
+	if err != nil {
+		db.Close()
+		return nil, fmt.Errorf("store %s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s *Store) Close() error { return s.db.Close() }
+
+func put(b *bbolt.Bucket, key string, v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return b.Put([]byte(key), text)
+}
+
+// Load reads all that is stored.
+func (s *Store) Load() (saved control.Saved, err error) {
+	saved.Tables = map[logic.TableID]*tables.Table{}
+	saved.Bound = map[logic.ProxyID][]logic.TableID{}
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		for key, to := range map[string]any{"line": &saved.Line, "step": &saved.Step, "at": &saved.At,
+			"masked": &saved.Masked, "levels": &saved.Levels, "carried": &saved.Carried, "proxies": &saved.Proxies,
+			"known": &saved.Known, "list": &saved.List} {
+			if text := tx.Bucket(meta).Get([]byte(key)); text != nil {
+				if err := json.Unmarshal(text, to); err != nil {
+					return fmt.Errorf("record meta/%s: %w", key, err)
+				}
+			}
+		}
+		err := tx.Bucket(tableOf).ForEach(func(k, text []byte) error {
+			n, err := strconv.Atoi(string(k))
+			t := &tables.Table{}
+			if err == nil {
+				err = json.Unmarshal(text, t)
+			}
+			if err != nil {
+				return fmt.Errorf("record tables/%s: %w", k, err)
+			}
+			if t.Lines == nil {
+				t.Lines = map[tables.Address]float64{}
+			}
+			saved.Tables[logic.TableID(n)] = t
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		return tx.Bucket(bound).ForEach(func(k, text []byte) error {
+			n, err := strconv.Atoi(string(k))
+			var by []logic.TableID
+			if err == nil {
+				err = json.Unmarshal(text, &by)
+			}
+			if err != nil {
+				return fmt.Errorf("record bound/%s: %w", k, err)
+			}
+			saved.Bound[logic.ProxyID(n)] = by
+			return nil
+		})
+	})
+	if err != nil {
+		return saved, fmt.Errorf("store %s: %w", s.db.Path(), err)
+	}
+	return saved, nil
+}
+
+// Write makes changes durable, all or none.
+func (s *Store) Write(changes []control.Change) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		for _, c := range changes {
+			if err := write(tx, c); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("store %s: %w", s.db.Path(), err)
+	}
+	return nil
+}
+
+func write(tx *bbolt.Tx, c control.Change) error {
+	m := tx.Bucket(meta)
+	for _, part := range []struct {
+		key string
+		v   any
+		set bool
+	}{{"step", c.Step, c.Step > 0}, {"at", c.At, c.Step > 0}, {"masked", c.Masked, c.Masked != nil},
+		{"levels", c.Levels, c.Levels != nil}, {"carried", c.Carried, c.Carried != nil},
+		{"proxies", c.Proxies, c.Proxies != nil}, {"known", c.Known, c.Known != nil}, {"list", c.List, c.List != nil}} {
+		if part.set {
+			if err := put(m, part.key, part.v); err != nil {
+				return err
+			}
+		}
+	}
+	for id, t := range c.Tables {
+		if err := putOrDrop(tx.Bucket(tableOf), int(id), t, t == nil); err != nil {
+			return err
+		}
+	}
+	for id, by := range c.Bound {
+		if err := putOrDrop(tx.Bucket(bound), int(id), by, by == nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func putOrDrop(b *bbolt.Bucket, key int, v any, gone bool) error {
+	if gone {
+		return b.Delete([]byte(strconv.Itoa(key)))
+	}
+	return put(b, strconv.Itoa(key), v)
+}
--- /dev/null
+++ b/internal/tables/document.go
@@ -0,0 +1,223 @@
+// Package tables holds what a proxy is told: an immutable document with its version, the encodings of it, and
+// the differences between two of them. No I/O, no clock.
+package tables
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MediaType is the content type of a whole document; PatchType that of a difference (RFC 6902).
+const (
+	MediaType = "application/vnd.vetchwood.tables+json"
+	PatchType = "application/json-patch+json"
+)
+
+type (
+	// Step counts the changes of one line of history; it never goes down, also over restarts.
+	Step uint64
+	// Line names the history that steps belong to; a store that was lost begins another.
+	Line uint64
+	// Address is where a host listens, and its name in tables.
+	Address string
+)
+
+// Host is what a table's reader may want to know of a host beside its address.
+type Host struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	Cell string `json:"cell,omitempty"`
+}
+
+// Level is how much of a route is let in, and when a proxy tries again.
+type Level struct {
+	Level float64 `json:"level"`
+	Tries int     `json:"tries"`
+}
+
+// Route is what holds for all calls of a route. Table names its table where proxies have tables of their own.
+type Route struct {
+	Level
+	Table       string  `json:"table,omitempty"`
+	Repeat      string  `json:"repeat"`
+	Reach       string  `json:"reach,omitempty"`
+	SpanMs      float64 `json:"span_ms,omitempty"`
+	SLOMs       float64 `json:"slo_ms"`
+	TimeLimitMs float64 `json:"time_limit_ms"`
+	Importance  float64 `json:"importance"`
+	Writes      bool    `json:"writes,omitempty"`
+	OwnZone     bool    `json:"own_zone,omitempty"`
+}
+
+// Table is the lines of one slice, or of the calls that a route binds to it. Keys whose hash lies in From..To
+// belong to it, both included, where there are slices.
+type Table struct {
+	From   *uint64             `json:"from,omitempty"`
+	To     *uint64             `json:"to,omitempty"`
+	Lines  map[Address]float64 `json:"lines"`
+	Levels map[string]Level    `json:"levels,omitempty"`
+}
+
+// Document is all that a proxy is told, as of one step. What it points to is shared and never written again.
+type Document struct {
+	Version string            `json:"version"`
+	At      float64           `json:"at"` // when it was ordered, in Unix milliseconds
+	Pick    string            `json:"pick"`
+	Ejects  int               `json:"ejects,omitempty"`
+	TryWait float64           `json:"try_wait,omitempty"` // of the SLO time, for a try that another may follow
+	Hash    string            `json:"hash,omitempty"`
+	Routes  map[string]Route  `json:"routes"`
+	Hosts   map[Address]Host  `json:"hosts"`
+	Masked  map[Address]bool  `json:"masked"`
+	Tables  map[string]*Table `json:"tables"`
+
+	Line Line `json:"-"`
+	Step Step `json:"-"`
+
+	whole  []byte
+	digest uint64
+	deltas map[*Document][]byte
+}
+
+// KeyHash is the hash that places keys; the first 32 bits of it choose the slice.
+const KeyHash = "xxh64"
+
+// SliceOf gives the slice of a key among that many.
+func SliceOf(key string, slices int) int {
+	return int((xxhash.Sum64String(key) >> 32) * uint64(slices) >> 32)
+}
+
+// SliceRange gives the first and the last hash (upper 32 bits) of a slice.
+func SliceRange(slice, slices int) (from, to uint64) {
+	at := func(i int) uint64 { return (uint64(i)<<32 + uint64(slices) - 1) / uint64(slices) }
+	return at(slice), at(slice+1) - 1
+}
+
+// Tag names one content of one step: `line.step.digest`, in hexadecimal but for the step.
+type Tag struct {
+	Line   Line
+	Step   Step
+	Digest uint64
+}
+
+func (t Tag) String() string {
+	return fmt.Sprintf("%x.%d.%x", uint64(t.Line), uint64(t.Step), t.Digest)
+}
+
+// ETag is the strong validator of RFC 9110 for it.
+func (t Tag) ETag() string { return `"` + t.String() + `"` }
+
+// ParseETag reads what ETag wrote.
+func ParseETag(s string) (t Tag, err error) {
+	if len(s) < 2 || s[0] != '"' || s[len(s)-1] != '"' {
+		return t, fmt.Errorf("entity tag %.60q: not a quoted strong validator", s)
+	}
+	parts := strings.Split(s[1:len(s)-1], ".")
+	if len(parts) != 3 {
+		return t, fmt.Errorf("entity tag %.60q: not line.step.digest", s)
+	}
+	line, err1 := strconv.ParseUint(parts[0], 16, 64)
+	step, err2 := strconv.ParseUint(parts[1], 10, 64)
+	digest, err3 := strconv.ParseUint(parts[2], 16, 64)
+	if err1 != nil || err2 != nil || err3 != nil {
+		return t, fmt.Errorf("entity tag %.60q: not line.step.digest", s)
+	}
+	return Tag{Line(line), Step(step), digest}, nil
+}
+
+// Seal gives the document its version; it is not changed from then on.
+func (d *Document) Seal(line Line, step Step, at float64) *Document {
+	d.Line, d.Step, d.At = line, step, at
+	d.Version = fmt.Sprintf("%x.%d", uint64(line), uint64(step))
+	return d
+}
+
+// Whole is the document's encoding. Only the owner of the document calls it, as with Delta.
+func (d *Document) Whole() []byte {
+	if d.whole == nil {
+		b, err := json.Marshal(d)
+		if err != nil {
+			panic(err) // all numbers were checked as they came in
+		}
+		d.whole, d.digest = b, xxhash.Sum64(b)
+	}
+	return d.whole
+}
+
+// Tag is the document's own.
+func (d *Document) Tag() Tag {
+	d.Whole()
+	return Tag{d.Line, d.Step, d.digest}
+}
+
+// Delta is the patch that makes d of base, encoded once for all that hold the base. It is nil where the whole
+// document is no longer than it.
+func (d *Document) Delta(base *Document) []byte {
+	if b, known := d.deltas[base]; known {
+		return b
+	}
+	b, err := json.Marshal(Diff(base, d))
+	if err != nil {
+		panic(err)
+	}
+	if len(b) >= len(d.Whole()) {
+		b = nil
+	}
+	if d.deltas == nil {
+		d.deltas = map[*Document][]byte{}
+	}
+	d.deltas[base] = b
+	return b
+}
+
+// Forget lets go of the differences, and so of the documents that they start from.
+func (d *Document) Forget() { d.deltas = nil }
+
+// Parse reads a whole document and refuses one that a proxy can't follow.
+func Parse(text []byte) (*Document, error) {
+	var d Document
+	if err := json.Unmarshal(text, &d); err != nil {
+		return nil, fmt.Errorf("tables document: %w", err)
+	}
+	line, step, found := strings.Cut(d.Version, ".")
+	l, err1 := strconv.ParseUint(line, 16, 64)
+	s, err2 := strconv.ParseUint(step, 10, 64)
+	if !found || err1 != nil || err2 != nil {
+		return nil, fmt.Errorf("tables document: field version: %.60q is not line.step", d.Version)
+	}
+	d.Line, d.Step = Line(l), Step(s)
+	if err := d.check(); err != nil {
+		return nil, fmt.Errorf("tables document %s: %w", d.Version, err)
+	}
+	d.whole, d.digest = text, xxhash.Sum64(text)
+	return &d, nil
+}
+
+func (d *Document) check() error {
+	for name, t := range d.Tables {
+		if t == nil {
+			return fmt.Errorf("table %q: empty", name)
+		}
+		for a, w := range t.Lines {
+			if !(w > 0) || w > 1e9 {
+				return fmt.Errorf("table %q, line %q: weight %v is not above 0 and at most 1e9", name, a, w)
+			}
+		}
+		if (t.From == nil) != (t.To == nil) || t.From != nil && (*t.From > *t.To || *t.To >= 1<<32) {
+			return fmt.Errorf("table %q: from and to are no range of hashes", name)
+		}
+	}
+	for name, r := range d.Routes {
+		if r.Table != "" && d.Tables[r.Table] == nil {
+			return fmt.Errorf("route %q: names table %q, which is not there", name, r.Table)
+		}
+		if !(r.Level.Level >= 0) || r.Tries < 0 || r.Tries > 3 {
+			return fmt.Errorf("route %q: level %v, tries %d", name, r.Level.Level, r.Tries)
+		}
+	}
+	return nil
+}
