--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -68,7 +68,8 @@
 	base    *tables.Document // what it holds, where that is known
 	owed    []letter         // that have left the channel and were not owned up to
 	last    logic.Millis
-	reports string // key of the last one
+	reports string      // key of the last one
+	reads   tables.Step // what was ordered when it joined, and so reads by itself
 }
 
 // New is a director's start. What it returns first must be carried out before the first Handle.
@@ -264,18 +265,30 @@
 
 // settle lets go what is safe now.
 func (c *Core) settle(now logic.Millis, upTo tables.Step) {
+	var settled []*world
 	for len(c.unsaved) > 0 && c.unsaved[0].world.step <= upTo {
 		s := c.unsaved[0]
 		c.unsaved = c.unsaved[1:]
 		c.stored = s.world
+		settled = append(settled, s.world)
 		c.channel.Offer(now, slices.DeleteFunc(s.messages, func(m channel.Message) bool {
 			return c.streams[m.Proxy] == nil
 		}))
 	}
 	for _, id := range c.ids {
-		if st := c.streams[id]; st.doc == nil {
-			c.open(now, id, st)
+		st := c.streams[id]
+		// What was ordered before it joined came as no message to it; it reads on as it is stored.
+		if at := min(st.reads, c.stored.step); st.doc != nil && st.doc.Step < at {
+			for _, w := range settled {
+				if w.step == at {
+					st.doc = c.document(w, id)
+					c.keep(st.doc)
+				}
+			}
+		} else if st.doc != nil {
+			continue
 		}
+		c.open(now, id, st)
 	}
 }
 
@@ -362,7 +375,7 @@
 	}
 	st := c.streams[id]
 	if st == nil {
-		st = &stream{name: p.Proxy, zone: p.Zone}
+		st = &stream{name: p.Proxy, zone: p.Zone, reads: c.world.step}
 		c.streams[id] = st
 		at, _ := slices.BinarySearch(c.ids, id)
 		c.ids = slices.Insert(c.ids, at, id)
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -130,7 +130,7 @@
 		delete(since[proxy], table)
 		for _, w := range warm {
 			if long := min(at, w.to) - max(from, w.from); long > r.Worst {
-				r.Worst, r.Where = long, fmt.Sprintf("proxy %s, table %s", proxy, table)
+				r.Worst, r.Where = long, fmt.Sprintf("proxy %s, table %s, %.1f s into the day", proxy, table, (from-t.From)/1000)
 			}
 		}
 	}
@@ -241,7 +241,7 @@
 			for _, j := range joined[s.Proxy] {
 				if s.At >= j.from && s.At < j.to {
 					if late := s.At - max(o.from, j.from); late > r.Worst {
-						r.Worst, r.Where = late, fmt.Sprintf("proxy %s to host %s", s.Proxy, s.Host)
+						r.Worst, r.Where = late, fmt.Sprintf("proxy %s to host %s, %.1f s into the day", s.Proxy, s.Host, (s.At-t.From)/1000)
 					}
 				}
 			}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -228,13 +228,14 @@
 	if err != nil {
 		return false, false
 	}
-	req.GetBody = nil // the library must not try again by itself
 	req.Header.Set(HeaderCall, call.ID)
 	req.Header.Set(HeaderProxy, c.Name)
 	req.Header.Set(HeaderRoute, call.Route)
 	req.Header.Set(HeaderWork, strconv.FormatFloat(call.Work, 'f', 3, 64))
 	if route.Repeat == "keyed" {
-		req.Header.Set(HeaderKey, call.ID)
+		// Not by Set: the library tries requests again by itself that bear the header in its own spelling, and
+		// what the second try met would be taken for the first one's fate.
+		req.Header["idempotency-key"] = []string{call.ID}
 	}
 	began := c.Now()
 	c.Book.Send(judge.Sent{At: began, Proxy: c.Name, Call: call.ID, Host: host})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,7 +29,7 @@
 
 // Open opens or makes the file.
 func Open(path string) (*Store, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: 3 * time.Second, FreelistType: bbolt.FreelistMapType})
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType})
 	if errors.Is(err, bbolt.ErrTimeout) {
 		return nil, fmt.Errorf("store %s: another process holds it", path)
 	}
--- a/internal/tables/patch.go
+++ b/internal/tables/patch.go
@@ -71,8 +71,8 @@
 		was, is := from.Tables[name], to.Tables[name]
 		switch {
 		case was == is:
-		case was == nil:
-			p.put(false, is, "tables", name)
+		case was == nil || !same(was.From, is.From) || !same(was.To, is.To):
+			p.put(was != nil, is, "tables", name)
 		default:
 			entries(&p, was.Lines, is.Lines, "tables", name, "lines")
 			switch {
@@ -95,6 +95,8 @@
 	return p
 }
 
+func same(a, b *uint64) bool { return a == nil && b == nil || a != nil && b != nil && *a == *b }
+
 // Apply makes a new document of a base and an encoded patch. The base stays as it is, whatever is wrong with
 // the patch.
 func Apply(base *Document, text []byte) (*Document, error) {
