Masks of an earlier start are told to the module: no table bare over a restart

Cause: a start over carried on the masks that proxies hold, as the document is state, but the module knew nothing of them. Change: a note Masked at the start, inherited by the publisher, so that such a mask is lifted like its own; a scenario that fails without it. Harm: a host that the earlier start judged unfit is open until it is judged anew.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -124,6 +124,11 @@
 			}
 		}
 	}
+	for _, a := range slices.Sorted(maps.Keys(d.is.masked)) {
+		if k, known := c.names.hosts[a]; known {
+			c.notes = append(c.notes, logic.Masked{Host: k.Number})
+		}
+	}
 	c.out = nil
 	d.change.Known = c.names.hosts
 	if f.Slices > 0 && saved.Step > 0 {
--- a/internal/judge/book.go
+++ b/internal/judge/book.go
@@ -134,3 +134,13 @@
 	slack := 2 * sum / float64(max(1, len(*work)))
 	return max(0, sum-slack) / (tip * Ability(now-born, coldFrom, warm) * span * float64(cores))
 }
+
+// LastTold is the list as it was told last.
+func (b *Book) LastTold() (Told, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.Tolds) == 0 {
+		return Told{}, false
+	}
+	return b.Tolds[len(b.Tolds)-1], true
+}
--- /dev/null
+++ b/internal/lrs/lrs_test.go
@@ -0,0 +1,73 @@
+package lrs
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"vetchwood/internal/control"
+)
+
+func TestAReportIsReadAsItWasWritten(t *testing.T) {
+	at, err := At("127.0.0.1:7001")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(Request{Node: Node{ID: "p1"}, ClusterStats: []Cluster{
+		{Name: "read", ServiceName: "17", Localities: []Upstream{{Metrics: []Metric{{Calls, 12, 12}, {Unanswered, 2, 2}}}}},
+		{Name: "read", Localities: []Upstream{{Endpoints: []Endpoint{{Address: at, Successful: 9, Errors: 1, Issued: 10,
+			Metrics: []Metric{{Spent, 9, 900}, {"cpu_utilization", 2, 1.5}, {"unknown", 1, 7}}}}}}},
+		{Name: "note", ServiceName: "3"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Read(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(r.Calls, []control.RouteCalls{{Route: "read", Table: "17", Calls: 12, Lost: 2}}) {
+		t.Errorf("%+v", r.Calls)
+	}
+	if len(r.Tries) != 1 || r.Proxy != "p1" {
+		t.Fatalf("%+v", r)
+	}
+	h := r.Tries[0]
+	if h.Address != "127.0.0.1:7001" || h.Ended != 10 || h.Lost != 1 || h.Spent != 900 || *h.Load.Busy != 0.75 || h.Load.Rate != nil {
+		t.Errorf("%+v", h)
+	}
+}
+
+func TestCountsAreTextOrNumbers(t *testing.T) {
+	for text, want := range map[string]Count{`"7"`: 7, `7`: 7, `"9007199254740991"`: 1<<53 - 1} {
+		var c Count
+		if err := json.Unmarshal([]byte(text), &c); err != nil || c != want {
+			t.Errorf("%s: %d, %v", text, c, err)
+		}
+	}
+	for _, text := range []string{`-1`, `"x"`, `1.5`, `"99999999999999999999"`, `{}`} {
+		var c Count
+		if err := json.Unmarshal([]byte(text), &c); err == nil {
+			t.Errorf("%s became %d", text, c)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"node":{"id":"p"},"cluster_stats":[{"cluster_name":"r","upstream_locality_stats":[{"upstream_endpoint_stats":[{"address":{"socket_address":{"address":"::1","port_value":80}},"total_error_requests":"3"}]}]}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := Read(body)
+		if err != nil {
+			return
+		}
+		for _, h := range r.Tries {
+			if h.Ended < h.Lost || h.Lost < 0 || !(h.Spent >= 0) || h.Address == "" {
+				t.Fatalf("%+v", h)
+			}
+		}
+		for _, c := range r.Calls {
+			if c.Calls < 0 || c.Lost < 0 {
+				t.Fatalf("%+v", c)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/orca/orca_test.go
@@ -0,0 +1,62 @@
+package orca
+
+import (
+	"strings"
+	"testing"
+
+	"vetchwood/logic"
+)
+
+func of(p *float64) float64 {
+	if p == nil {
+		return -1
+	}
+	return *p
+}
+
+func TestBothForms(t *testing.T) {
+	for header, want := range map[string][4]float64{
+		"TEXT cpu_utilization=0.62,rps_fractional=140.5,named_metrics.queue=3": {0.62, 140.5, 3, -1},
+		"TEXT cpu_utilization=0.62, mem_utilization=0.3, eps=2":                {0.62, -1, -1, 2},
+		`JSON {"cpu_utilization":0.5,"named_metrics":{"queue":4,"other":1}}`:   {0.5, -1, 4, -1},
+		"TEXT cpu_utilization=-1,rps_fractional=NaN":                           {-1, -1, -1, -1},
+		"TEXT": {-1, -1, -1, -1},
+		"":     {-1, -1, -1, -1},
+	} {
+		l, err := Parse(header)
+		if got := [4]float64{of(l.Busy), of(l.Rate), of(l.Queue), of(l.Errors)}; err != nil || got != want {
+			t.Errorf("%q: %v, %v", header, got, err)
+		}
+	}
+	for header, says := range map[string]string{"TEXT cpu_utilization=much": "cpu_utilization", "JSON {": "JSON", "BIN AAAA": `"BIN"`} {
+		if _, err := Parse(header); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v", header, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("TEXT cpu_utilization=0.62,rps_fractional=140")
+	f.Add(`JSON {"cpu_utilization":0.5,"named_metrics":{"queue":4}}`)
+	f.Fuzz(func(t *testing.T, header string) {
+		l, err := Parse(header)
+		if err != nil {
+			return
+		}
+		Each(l, func(name string, v float64) {
+			if !(v >= 0) {
+				t.Fatalf("%s is %v", name, v)
+			}
+		})
+		if again, err := Parse(Text(l)); err != nil || (again.Busy == nil) != (l.Busy == nil) {
+			t.Fatalf("%q became %q: %v", header, Text(l), err)
+		}
+	})
+}
+
+func TestTextWritesWhatIsThere(t *testing.T) {
+	busy, rate := 0.25, 12.0
+	if got := Text(logic.Load{Busy: &busy, Rate: &rate}); got != "TEXT cpu_utilization=0.25,rps_fractional=12" {
+		t.Fatal(got)
+	}
+}
--- /dev/null
+++ b/internal/rehearse/rehearse_test.go
@@ -0,0 +1,201 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"vetchwood/internal/daemon"
+	"vetchwood/internal/judge"
+	"vetchwood/internal/settings"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// The test binary is the director too, so that one can be killed like any process.
+func TestMain(m *testing.M) {
+	if file := os.Getenv("VETCHWOOD_TEST_DIRECTOR"); file != "" {
+		s, err := settings.Load(file)
+		if err == nil {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+			defer stop()
+			err = daemon.Run(ctx, s, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func self(file string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "VETCHWOOD_TEST_DIRECTOR="+file)
+	return c
+}
+
+func TestADayKeepsTheRules(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	err := Play(t.Context(), Request{Day: "short-day", JSON: true, Out: &out, Log: slog.New(slog.DiscardHandler), Command: self})
+	var v judge.Verdict
+	if wrong := json.Unmarshal(out.Bytes(), &v); err != nil || wrong != nil {
+		t.Fatalf("%v, %v\n%s", err, wrong, out.Bytes())
+	}
+	if v.Calls < 500 || v.Steps < 5 || v.Deltas < 20 || v.Lists < 5 || len(v.Rules) != 6 {
+		t.Fatalf("the day has seen too little to be a witness\n%s", out.Bytes())
+	}
+	if v.Service < 0.8 {
+		t.Errorf("service %.3f", v.Service)
+	}
+}
+
+// small raises a fleet with no load of its own.
+func small(t *testing.T, hosts, proxies int) *stage {
+	script, err := Find("short-day")
+	if err != nil {
+		t.Fatal(err)
+	}
+	script.Fleet.Hosts, script.Fleet.Proxies, script.Fleet.ListDelay = hosts, proxies, 0
+	s, err := raise(t.Context(), script, t.TempDir(), self, slog.New(slog.DiscardHandler))
+	t.Cleanup(func() {
+		if s != nil {
+			s.lower()
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (s *stage) stored() tables.Step {
+	res, err := http.Get("http://" + s.running.Admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	return tables.Step(metric(text, "vetchwood_version_stored"))
+}
+
+func (s *stage) highest() (step tables.Step) {
+	s.book.Counts()
+	for _, r := range s.callers {
+		if d := r.Held(); d != nil {
+			step = max(step, d.Step)
+		}
+	}
+	return step
+}
+
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// Killed while versions are on their way, at ten different moments: whatever a proxy was told is stored, the
+// start over goes on from there, and every proxy ends on what the director holds.
+func TestKilledAtTenMoments(t *testing.T) {
+	t.Parallel()
+	s := small(t, 6, 3)
+	for round := range 10 {
+		// Each change of the list leads to versions; the kill comes at another point of their way.
+		h := s.hosts[round%6]
+		s.registry.State(h.id, logic.Draining)
+		time.Sleep(time.Duration(20+35*round) * time.Millisecond)
+		s.stopDirector(syscall.SIGKILL)
+		told := s.highest()
+		s.registry.State(h.id, logic.Up)
+		if err := s.startDirector(); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the director serves again", func() bool { return s.stored() > 0 })
+		if stored := s.stored(); stored <= told {
+			t.Fatalf("round %d: version %d was told, the start over has %d", round, told, stored)
+		}
+		eventually(t, "all proxies are on one version", func() bool {
+			step := s.stored()
+			for _, r := range s.callers {
+				if r.Held().Step != step {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	s.book.Happened(judge.Note{})
+	v := s.book.Judge(s.terms(0, s.now()))
+	if v.Backwards > 0 {
+		t.Fatalf("%d times a proxy was sent backwards", v.Backwards)
+	}
+	if v.Deltas < 10 {
+		t.Fatalf("only %d differences: what was held was not known again", v.Deltas)
+	}
+}
+
+// A stop by signal ends within a moment, and the next start finds all.
+func TestStoppedBySignal(t *testing.T) {
+	t.Parallel()
+	s := small(t, 4, 2)
+	began, held := time.Now(), s.highest()
+	s.stopDirector(syscall.SIGTERM)
+	if took := time.Since(began); took > 3*time.Second {
+		t.Fatalf("it took %v to stop", took)
+	}
+	text, err := os.ReadFile(s.logFile())
+	if err != nil || !strings.Contains(string(text), "director.stopped") {
+		t.Fatalf("%v: %s", err, text)
+	}
+	if err := s.startDirector(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the director serves again", func() bool { return s.stored() > held })
+}
+
+func TestScriptsThatAreWrong(t *testing.T) {
+	text, err := days.ReadFile("days/short-day.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for change, says := range map[string]string{
+		`"die"|"laugh"`:                 `no trouble is called "laugh"`,
+		`at    = "2s"|at = "20s"`:       "past the end of the day",
+		`share = 0.72|share = 0.5`:      "add up to 0.780",
+		`hosts = 1|hosts = 100`:         "100 is not between 1 and 8",
+		`"director.hcl"|"nothing.hcl"`:  "no such file: nothing.hcl",
+		`rise_over        = "2s"|rise=`: "Invalid expression",
+		`batch = 1|part = 1`:            "knows no part",
+	} {
+		from, to, _ := strings.Cut(change, "|")
+		_, err := read("d.hcl", []byte(strings.Replace(string(text), from, to, 1)), "")
+		if err == nil || !strings.Contains(err.Error(), says) || !strings.HasPrefix(err.Error(), "d.hcl:") {
+			t.Errorf("%s: %v, wanted one that says %s", change, err, says)
+		}
+	}
+	if _, err := Find("no-such-day"); err == nil {
+		t.Error("no error")
+	}
+	for _, name := range []string{"bad-day", "demo", "short-day"} {
+		if _, err := Find(name); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearse/rogue_test.go
@@ -0,0 +1,259 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"vetchwood/internal/control"
+	"vetchwood/internal/judge"
+	"vetchwood/internal/longpoll"
+	"vetchwood/internal/roster"
+	"vetchwood/internal/standin"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// rogue is a director that tells whatever the test says. With it the rules are broken on purpose, over the same
+// sockets and with the same judge as on any day: a judge that can't find a fault is no judge.
+type rogue struct {
+	t        *testing.T
+	book     *judge.Book
+	epoch    time.Time
+	registry *standin.Registry
+	hosts    []*standin.Host
+	proxy    *standin.Caller
+	terms    judge.Terms
+
+	mu      sync.Mutex
+	tickets atomic.Uint64
+	front   *longpoll.Server
+	doc     *tables.Document
+	waiting map[control.Ticket]control.Poll
+	kept    map[tables.Tag]*tables.Document
+}
+
+func (r *rogue) now() float64 {
+	return float64(r.epoch.UnixMicro())/1000 + float64(time.Since(r.epoch).Nanoseconds())/1e6
+}
+
+func (r *rogue) Ticket() control.Ticket { return control.Ticket(r.tickets.Add(1)) }
+
+func (r *rogue) Post(in any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch in := in.(type) {
+	case control.Poll:
+		if r.waiting[in.Ticket] = in; len(in.Held) == 0 || in.Held[0] != r.doc.Tag() {
+			r.answer(in)
+		}
+	case control.Report:
+		go r.front.Answer(control.Answer{Ticket: in.Ticket, Kind: control.Taken})
+	case control.Broke:
+		delete(r.waiting, in.Ticket)
+	}
+}
+
+func (r *rogue) answer(p control.Poll) {
+	a := control.Answer{Ticket: p.Ticket, Kind: control.Whole, Doc: r.doc}
+	if len(p.Held) > 0 {
+		if base := r.kept[p.Held[0]]; base != nil {
+			if patch := r.doc.Delta(base); patch != nil {
+				a.Kind, a.Base, a.Patch = control.Delta, base, patch
+			}
+		}
+	}
+	delete(r.waiting, p.Ticket)
+	r.front.Answer(a)
+}
+
+// tell publishes lines as the only table of two, ordered so long ago.
+func (r *rogue) tell(lines map[tables.Address]float64, tries int, late float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	route := func(repeat string) tables.Route {
+		return tables.Route{Level: tables.Level{Level: 1, Tries: tries}, Repeat: repeat, SLOMs: 300, TimeLimitMs: 2000, Importance: 1}
+	}
+	d := &tables.Document{Pick: "lottery", TryWait: 0.5, Hash: tables.KeyHash, Masked: map[tables.Address]bool{}, Hosts: map[tables.Address]tables.Host{},
+		Routes: map[string]tables.Route{"read": route("repeatable"), "note": route("keyed")},
+		Tables: map[string]*tables.Table{"0": {Lines: lines}}}
+	for i := range 30 {
+		d.Hosts[tables.Address(fmt.Sprintf("10.0.0.%d:80", i))] = tables.Host{ID: "fills the document", Zone: "a"}
+	}
+	step := tables.Step(1)
+	if r.doc != nil {
+		step = r.doc.Step + 1
+	}
+	r.doc = d.Seal(5, step, r.now()-late)
+	r.kept[r.doc.Tag()] = r.doc
+	for _, p := range r.waiting {
+		r.answer(p)
+	}
+}
+
+func (r *rogue) all(weight float64) map[tables.Address]float64 {
+	out := map[tables.Address]float64{}
+	for _, h := range r.hosts {
+		out[h.Address] = weight
+	}
+	return out
+}
+
+// calls makes so many, evenly over a time, and waits for them.
+func (r *rogue) calls(route string, n int, over time.Duration, work float64) {
+	var all sync.WaitGroup
+	for i := range n {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			time.Sleep(over * time.Duration(i) / time.Duration(n))
+			r.proxy.Make(context.Background(), standin.Call{ID: fmt.Sprintf("%s-%d-%d", route, n, i), Route: route, Key: "k", Work: work})
+		}()
+	}
+	all.Wait()
+}
+
+func newRogue(t *testing.T) *rogue {
+	t.Parallel()
+	r := &rogue{t: t, book: &judge.Book{}, epoch: time.Now(), waiting: map[control.Ticket]control.Poll{}, kept: map[tables.Tag]*tables.Document{},
+		terms: judge.Terms{Slices: 1, Bare: 500, Grace: 500, Warm: 10 * time.Second, ColdFrom: 0.2, Tip: 3, Fall: time.Second, Queue: 60,
+			Head: 16, Messages: 8, MessageSpan: 10000, Routes: map[string]tables.Route{"read": {Repeat: "repeatable"}, "note": {Repeat: "keyed"}}}}
+	var err error
+	if r.registry, err = standin.NewRegistry("127.0.0.1:0", r.book, r.now, 0); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		h := standin.NewHost(standin.HostShape{Cores: 4, Queue: 100, ColdFrom: 0.2, Warm: 10 * time.Second, Tip: 1e9, Fall: time.Second,
+			Memory: standin.NewMemory(4 * time.Second), Book: r.book, Now: r.now}, "")
+		if err := h.Start(true); err != nil {
+			t.Fatal(err)
+		}
+		r.hosts = append(r.hosts, h)
+		r.registry.Put(fmt.Sprintf("h%d", i), h.Address, "a", fmt.Sprint(i), 0)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	log := slog.New(slog.DiscardHandler)
+	go roster.Follow(ctx, r.registry.URL(), "hosts", 5*time.Second, func([]control.Listed) {}, log)
+	if r.front, err = longpoll.Listen("127.0.0.1:0", r, longpoll.Limits{MostHead: 1 << 14, MostBody: 1 << 20, SlowRequest: time.Second,
+		Idle: time.Minute, Write: time.Second, LongestWait: 10000}, log); err != nil {
+		t.Fatal(err)
+	}
+	go r.front.Serve()
+	r.tell(r.all(1), 1, 0)
+	r.proxy = &standin.Caller{Name: "p", Zone: "a", Director: "http://" + r.front.Addr().String(), Report: 200 * time.Millisecond,
+		WaitsForTable: 100 * time.Millisecond, Book: r.book, Now: r.now, Log: log}
+	done := make(chan struct{})
+	go func() { r.proxy.Run(ctx, nil); close(done) }()
+	t.Cleanup(func() {
+		stop()
+		<-done
+		r.front.Close()
+		for _, h := range r.hosts {
+			h.Die()
+		}
+		r.registry.Close()
+	})
+	eventually(t, "the proxy holds tables", func() bool { return r.proxy.Held() != nil })
+	eventually(t, "the list is told", func() bool { return len(r.told()) == 2 })
+	return r
+}
+
+func (r *rogue) told() []judge.ToldHost {
+	last, ok := r.book.LastTold()
+	if !ok {
+		return nil
+	}
+	return last.Hosts
+}
+
+// broken judges the day and wants one rule broken and the others kept.
+func (r *rogue) broken(name string) {
+	r.t.Helper()
+	r.terms.Until = r.now()
+	v := r.book.Judge(r.terms)
+	found := name == ""
+	for _, rule := range v.Rules {
+		if rule.Kept != (rule.Name != name) {
+			r.t.Errorf("%s: kept %v, worst %v of %v %s, %s", rule.Name, rule.Kept, rule.Worst, rule.Limit, rule.Unit, rule.Where)
+		}
+		found = found || rule.Name == name
+	}
+	if !found {
+		r.t.Fatalf("no rule is called %q", name)
+	}
+}
+
+func TestNoRuleIsBrokenByAnHonestDirector(t *testing.T) {
+	r := newRogue(t)
+	r.calls("read", 40, time.Second, 20)
+	r.calls("note", 40, time.Second, 20)
+	r.tell(map[tables.Address]float64{r.hosts[0].Address: 1}, 1, 0)
+	r.calls("note", 41, time.Second, 20)
+	r.broken("")
+}
+
+func TestABareTableIsFound(t *testing.T) {
+	r := newRogue(t)
+	r.tell(map[tables.Address]float64{}, 1, 0)
+	time.Sleep(900 * time.Millisecond)
+	r.broken("no proxy without a line")
+}
+
+// A keyed call is tried again in another cell after its answer was lost, because the director said so.
+func TestAnEffectTwiceIsFound(t *testing.T) {
+	r := newRogue(t)
+	for _, h := range r.hosts {
+		h.Set(standin.HostFaults{LoseAnswer: 1})
+	}
+	r.tell(r.all(1), 3, 0)
+	eventually(t, "the proxy has it", func() bool { return r.proxy.Held().Step == 2 })
+	r.calls("note", 5, 100*time.Millisecond, 20)
+	r.broken("no effect twice")
+}
+
+func TestABrokenDrainIsFound(t *testing.T) {
+	r := newRogue(t)
+	r.registry.State("h0", logic.Draining)
+	eventually(t, "the list is told", func() bool {
+		told := r.told()
+		return told[0].State == logic.Draining || told[1].State == logic.Draining
+	})
+	r.calls("read", 40, time.Second, 10)
+	r.broken("drains kept")
+}
+
+func TestAColdHostPushedOverIsFound(t *testing.T) {
+	r := newRogue(t)
+	r.hosts[0].Die()
+	eventually(t, "it starts again", func() bool { return r.hosts[0].Start(false) == nil })
+	r.registry.Put("h0", r.hosts[0].Address, "a", "0", r.hosts[0].Born())
+	eventually(t, "the list is told", func() bool {
+		return r.told()[0].Born > 0 || r.told()[1].Born > 0
+	})
+	r.tell(map[tables.Address]float64{r.hosts[0].Address: 1}, 1, 0)
+	eventually(t, "the proxy has it", func() bool { return r.proxy.Held().Step == 2 })
+	r.calls("read", 80, time.Second, 100) // eight seconds of work in one, for four cores at a fifth
+	r.broken("no cold host pushed over")
+}
+
+func TestALongQueueIsFound(t *testing.T) {
+	r := newRogue(t)
+	for i := range 5 {
+		r.tell(r.all(float64(i+2)), 1, 3000) // ordered three seconds ago, five times over
+		eventually(t, "the proxy has it", func() bool { return r.proxy.Held().Step == tables.Step(i+2) })
+	}
+	r.broken("a short queue")
+}
+
+func TestTooManyMessagesAreFound(t *testing.T) {
+	r := newRogue(t)
+	for i := range 10 {
+		r.tell(r.all(float64(i+2)), 1, 0)
+		eventually(t, "the proxy has it", func() bool { return r.proxy.Held().Step == tables.Step(i+2) })
+	}
+	r.broken("the message limit")
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -137,6 +137,8 @@
 		Host   HostID
 		Weight float64
 	}
+	// Masked is told at a start of a host that proxies hold a mask of from an earlier one.
+	Masked  struct{ Host HostID }
 	Applied struct {
 		Proxy  ProxyID
 		Serial SerialID
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -333,6 +333,8 @@
 		p.move(n)
 	case levelled:
 		p.levels = n
+	case Masked:
+		p.inherit(n)
 	case Joined:
 		p.join(n)
 	case Left:
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -173,6 +173,9 @@
 		}
 	case "probed": // host, good or bad
 		s.notes = append(s.notes, Probed{Host: HostID(number(rest[0])), Spent: 5, Good: rest[1] == "good"})
+	case "masked": // a mask of an earlier start
+		s.masked[HostID(number(rest[0]))] = true
+		s.notes = append(s.notes, Masked{HostID(number(rest[0]))})
 	case "deaf": // proxies own up to nothing any more
 		s.deaf = true
 	case "run":
