The project's own proxy: follows, picks, tries again, limits and reports on netpoll; rehearsals use it

A fault found on the way: a line whose host the document does not describe stopped the proxy with its lock held; hosts are made as they are named, and the lock is let go of whatever happens.

--- a/cmd/vetchwood/commands.go
+++ b/cmd/vetchwood/commands.go
@@ -32,6 +32,14 @@
 	return daemon.Run(ctx, s, log)
 }
 
+type relayCmd struct {
+	File string `arg:"" help:"The proxy's settings (HCL)." type:"path"`
+}
+
+func (c *relayCmd) Run(ctx context.Context, log *slog.Logger) error {
+	return daemon.Relay(ctx, c.File, log)
+}
+
 type checkCmd struct {
 	File string `arg:"" help:"The director's settings (HCL)." type:"path"`
 }
--- a/cmd/vetchwood/main.go
+++ b/cmd/vetchwood/main.go
@@ -29,6 +29,7 @@
 	} `embed:"" prefix:"log-"`
 
 	Run      runCmd      `cmd:"" help:"Run a director: lay tables, publish them to proxies that poll."`
+	Relay    relayCmd    `cmd:"" help:"Run a proxy: follow a director's tables and carry calls by them."`
 	Check    checkCmd    `cmd:"" help:"Validate a director's file and print what follows from it."`
 	Host     hostCmd     `cmd:"" help:"Run a stand-in host, and list it at a roster."`
 	Roster   rosterCmd   `cmd:"" help:"Run a stand-in for the list of hosts (Consul's health interface)."`
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -31,6 +31,10 @@
 	}
 }
 
+// Amount and ByRate are how much is let in, and how it is counted.
+func (l *Level) Amount() float64 { return l.amount }
+func (l *Level) ByRate() bool    { return l.rate }
+
 // In says whether a call is let in; chance is in [0,1).
 func (l *Level) In(now, chance float64) bool {
 	if !l.rate {
--- a/internal/again/again.go
+++ b/internal/again/again.go
@@ -91,6 +91,7 @@
 	Unsafe     Verdict = "might take effect twice"
 	TooLate    Verdict = "could not end in time"
 	NoBudget   Verdict = "no budget"
+	Nowhere    Verdict = "no other line" // said by whoever picks
 )
 
 // Next says whether another try may be made now. Usual is how long answers of the route take, 0 if not known.
--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -1,68 +1,49 @@
-// Package choose is how a proxy picks a line: which table a call belongs to, which lines are open to it, and
-// one of them by weight. No I/O, no clock; chance is handed in. It overrides nothing that a table says.
+// Package choose tells which route a request belongs to, and which key it bears. No I/O.
 package choose
 
 import (
-	"maps"
+	"bytes"
+	"net/url"
 	"slices"
-	"strconv"
 
-	"vetchwood/internal/tables"
+	"vetchwood/internal/h1"
 )
 
-// Table gives the table of a call; nil if there is none.
-func Table(d *tables.Document, route, key string) (name string, t *tables.Table) {
-	if d == nil {
-		return "", nil
-	}
-	if d.Hash != "" {
-		name = strconv.Itoa(tables.SliceOf(key, len(d.Tables)))
-	} else {
-		name = d.Routes[route].Table
-	}
-	return name, d.Tables[name]
+// Match is how requests of a route look.
+type Match struct {
+	Route            string
+	Prefix           string
+	Methods          []string // empty: any
+	KeyFrom, KeyName string   // "" the path, "header" or "query"
+	Mark             string   // header that bears the mark against repeats, in small letters
 }
 
-// Level is how much of a route a table lets in, and its tries: the lower level wins, and the table's own tries.
-func Level(d *tables.Document, route string, t *tables.Table) tables.Level {
-	l := d.Routes[route].Level
-	if t != nil {
-		if own, set := t.Levels[route]; set {
-			l.Tries = own.Tries
-			l.Level = min(l.Level, own.Level)
+// Find gives the route of a request: of those that match, the one with the longest prefix.
+func Find(routes []Match, h *h1.Head) *Match {
+	path, _, _ := bytes.Cut(h.Target, []byte("?"))
+	var best *Match
+	for i := range routes {
+		m := &routes[i]
+		if len(path) >= len(m.Prefix) && string(path[:len(m.Prefix)]) == m.Prefix && (best == nil || len(m.Prefix) > len(best.Prefix)) &&
+			(len(m.Methods) == 0 || slices.Contains(m.Methods, string(h.Method))) {
+			best = m
 		}
 	}
-	return l
+	return best
 }
 
-// Open are the lines that a call may go to, in the order of their addresses.
-func Open(d *tables.Document, route, zone string, t *tables.Table, but func(tables.Address) bool) (open []tables.Address) {
-	if t == nil {
-		return nil
-	}
-	for _, a := range slices.Sorted(maps.Keys(t.Lines)) {
-		if d.Masked[a] || but(a) || d.Routes[route].OwnZone && d.Hosts[a].Zone != zone {
-			continue
-		}
-		open = append(open, a)
-	}
-	return open
+// Key is what places a request in a slice.
+func (m *Match) Key(h *h1.Head) string {
+	path, query, _ := bytes.Cut(h.Target, []byte("?"))
+	switch m.KeyFrom {
+	case "header":
+		return string(h.Get(m.KeyName))
+	case "query":
+		values, _ := url.ParseQuery(string(query))
+		return values.Get(m.KeyName)
+	}
+	return string(path)
 }
 
-// Lottery picks one by weight; chance is in [0,1).
-func Lottery(t *tables.Table, open []tables.Address, chance float64) tables.Address {
-	whole := 0.0
-	for _, a := range open {
-		whole += t.Lines[a]
-	}
-	at := chance * whole
-	for _, a := range open {
-		if at -= t.Lines[a]; at < 0 {
-			return a
-		}
-	}
-	if len(open) == 0 {
-		return ""
-	}
-	return open[len(open)-1]
-}
+// Marked says whether a request bears the mark by which hosts know it again.
+func (m *Match) Marked(h *h1.Head) bool { return len(h.Get(m.Mark)) > 0 }
--- a/internal/control/world.go
+++ b/internal/control/world.go
@@ -216,8 +216,9 @@
 		return d
 	}
 	f := c.svc.Facts
-	d := &tables.Document{Pick: c.svc.Pick, Ejects: f.EjectsAfter, TryWait: f.TryWait,
-		Routes: map[string]tables.Route{}, Hosts: map[tables.Address]tables.Host{},
+	d := &tables.Document{Pick: c.svc.Pick, Ejects: f.EjectsAfter, TryWait: f.TryWait, FullIsProof: !f.FullMayHaveRun,
+		LevelsBy: map[logic.Valve]string{logic.LevelShare: "share", logic.LevelRate: "rate", logic.NoLevels: "none"}[f.Levels],
+		Routes:   map[string]tables.Route{}, Hosts: map[tables.Address]tables.Host{},
 		Masked: map[tables.Address]bool{}, Tables: map[string]*tables.Table{}}
 	use := func(name string, t *tables.Table) {
 		d.Tables[name] = t
--- /dev/null
+++ b/internal/following/following.go
@@ -0,0 +1,85 @@
+// Package following decides which director a proxy polls, when, and which of the versions it is offered take effect.
+// No I/O, no clock; chance is in [0,1).
+package following
+
+import "vetchwood/internal/tables"
+
+// Spans between polls that fail, in milliseconds. They double, and are drawn between half and one and a half, so that
+// proxies that lost a director together don't come back together.
+const (
+	firstWait = 50.0
+	longWait  = 2000.0
+)
+
+// Chooser keeps to one director until it fails, then goes on to the next.
+type Chooser struct {
+	at    int
+	fails []int
+	until []float64
+}
+
+func NewChooser(directors int) *Chooser {
+	return &Chooser{fails: make([]int, directors), until: make([]float64, directors)}
+}
+
+// Next is whom to poll, and when.
+func (c *Chooser) Next(now float64) (director int, when float64) {
+	return c.at, max(now, c.until[c.at])
+}
+
+// Answered tells that a director answered as it should.
+func (c *Chooser) Answered(director int) { c.fails[director], c.until[director] = 0, 0 }
+
+// Failed tells that it did not: no answer, a wrong one, or one that is behind what is held. The next is the one that
+// may be asked first, and of those the next in turn.
+func (c *Chooser) Failed(director int, now, chance float64) {
+	wait := firstWait
+	for range c.fails[director] {
+		wait = min(longWait, 2*wait)
+	}
+	c.fails[director]++
+	c.until[director] = now + wait*(0.5+chance)
+	best := director
+	for i := range c.until {
+		j := (director + 1 + i) % len(c.until)
+		if c.until[j] < c.until[best] {
+			best = j
+		}
+	}
+	c.at = best
+}
+
+// Held says which version is in force.
+type Held struct {
+	Line tables.Line
+	Step tables.Step
+	At   float64 // when it was ordered, Unix milliseconds
+}
+
+// Verdict on an offered version.
+type Verdict string
+
+const (
+	Take   Verdict = "take"
+	Repeat Verdict = "repeat" // it is in force already, and takes no effect again
+	Older  Verdict = "older"
+)
+
+// Judge compares an offer with what is held; nil holds nothing. Within a line the greater step is newer. Another line
+// is the history of a store that was lost or that is another's: it takes over only if it was ordered later.
+func Judge(held *Held, offer Held) Verdict {
+	switch {
+	case held == nil:
+		return Take
+	case held.Line != offer.Line:
+		if offer.At > held.At {
+			return Take
+		}
+		return Older
+	case offer.Step == held.Step:
+		return Repeat
+	case offer.Step < held.Step:
+		return Older
+	}
+	return Take
+}
--- /dev/null
+++ b/internal/h1/h1.go
@@ -0,0 +1,357 @@
+// Package h1 reads the heads and bodies of HTTP/1.1 messages for a proxy: strictly, in place, and with no more than
+// one meaning. What two readers could take for different messages is refused, as it would be passed on.
+package h1
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// Field is one of a head; both parts lie in the buffer that was read.
+type Field struct{ Name, Value []byte }
+
+// Head is a request's or an answer's.
+type Head struct {
+	Method, Target []byte
+	Status         int
+	Reason         []byte
+	Minor          int // of HTTP/1.x
+	Fields         []Field
+	Length         int64 // of the body; -1: not stated
+	Chunked        bool
+	Close          bool // the connection ends with this message
+	KeepAlive      bool // stated, which HTTP/1.0 needs
+	Expects        bool // 100-continue
+	Upgrade        bool
+	Size           int // of the head
+}
+
+// Wrong is what makes a message unreadable.
+type Wrong struct {
+	Status int // for an answer to a request
+	Why    string
+}
+
+func (w *Wrong) Error() string { return w.Why }
+
+func wrong(status int, format string, args ...any) *Wrong {
+	return &Wrong{status, fmt.Sprintf(format, args...)}
+}
+
+const (
+	badRequest     = 400
+	notImplemented = 501
+	tooLarge       = 431
+	noSuchVersion  = 505
+	mostFields     = 100
+)
+
+var crlf = []byte("\r\n")
+
+// token holds the bytes of methods and names (RFC 9110, 5.6.2).
+var token = func() (t [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		t[c] = true
+	}
+	return t
+}()
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !token[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// Ends finds the end of a head in what has come; 0 if it has not come whole. From is where the last look ended.
+func Ends(buf []byte, from int) int {
+	if from > 3 {
+		from -= 3
+	} else {
+		from = 0
+	}
+	if i := bytes.Index(buf[from:], []byte("\r\n\r\n")); i >= 0 {
+		return from + i + 4
+	}
+	return 0
+}
+
+// Request reads a request's head. Nothing is read past it; 0 and no error mean that more is to come.
+func (h *Head) Request(buf []byte, most int) (int, *Wrong) {
+	end := Ends(buf[:min(len(buf), most)], 0)
+	if end == 0 {
+		if len(buf) >= most {
+			return 0, wrong(tooLarge, "the head is longer than %d bytes", most)
+		}
+		return 0, nil
+	}
+	h.reset(end)
+	line, rest, _ := bytes.Cut(buf[:end-2], crlf)
+	sp1 := bytes.IndexByte(line, ' ')
+	sp2 := bytes.LastIndexByte(line, ' ')
+	if sp1 <= 0 || sp2 <= sp1 {
+		return 0, wrong(badRequest, "the request line %.60q has not three parts", line)
+	}
+	h.Method, h.Target = line[:sp1], line[sp1+1:sp2]
+	if !isToken(h.Method) {
+		return 0, wrong(badRequest, "the method %.40q is no token", h.Method)
+	}
+	if len(h.Target) == 0 || h.Target[0] != '/' {
+		return 0, wrong(badRequest, "the target %.60q is no path", h.Target)
+	}
+	for _, c := range h.Target {
+		if c <= ' ' || c >= 0x7f {
+			return 0, wrong(badRequest, "the target holds the byte %#x", c)
+		}
+	}
+	if w := h.version(line[sp2+1:]); w != nil {
+		return 0, w
+	}
+	if string(h.Method) == "CONNECT" {
+		return 0, wrong(notImplemented, "CONNECT is not taken here")
+	}
+	hosts, w := h.fields(rest)
+	if w != nil {
+		return 0, w
+	}
+	if hosts > 1 || hosts == 0 && h.Minor == 1 {
+		return 0, wrong(badRequest, "%d Host fields", hosts)
+	}
+	if h.Minor == 0 && h.Chunked {
+		return 0, wrong(badRequest, "HTTP/1.0 knows no Transfer-Encoding")
+	}
+	h.Close = h.Close || h.Minor == 0 && !h.KeepAlive
+	return end, nil
+}
+
+// Answer reads an answer's head, to a request of that method.
+func (h *Head) Answer(buf []byte, most int, method []byte) (int, *Wrong) {
+	end := Ends(buf[:min(len(buf), most)], 0)
+	if end == 0 {
+		if len(buf) >= most {
+			return 0, wrong(0, "the answer's head is longer than %d bytes", most)
+		}
+		return 0, nil
+	}
+	h.reset(end)
+	line, rest, _ := bytes.Cut(buf[:end-2], crlf)
+	if len(line) < 12 || line[8] != ' ' || len(line) > 12 && line[12] != ' ' {
+		return 0, wrong(0, "the status line %.60q is none", line)
+	}
+	if w := h.version(line[:8]); w != nil {
+		return 0, w
+	}
+	for _, c := range line[9:12] {
+		if c < '0' || c > '9' {
+			return 0, wrong(0, "the status %q is no number", line[9:12])
+		}
+		h.Status = h.Status*10 + int(c-'0')
+	}
+	if h.Status < 100 || h.Status > 599 {
+		return 0, wrong(0, "the status %d is out of range", h.Status)
+	}
+	if len(line) > 13 {
+		h.Reason = line[13:]
+		if !isValue(h.Reason) {
+			return 0, wrong(0, "the reason %.40q holds a byte that it may not", h.Reason)
+		}
+	}
+	if _, w := h.fields(rest); w != nil {
+		return 0, w
+	}
+	h.Close = h.Close || h.Minor == 0 && !h.KeepAlive
+	if h.Status < 200 || h.Status == 204 || h.Status == 304 || string(method) == "HEAD" {
+		if h.Status < 200 && (h.Chunked || h.Length > 0) {
+			return 0, wrong(0, "a status of %d bears a body", h.Status)
+		}
+		h.Length, h.Chunked = 0, false
+	} else if h.Length < 0 && !h.Chunked {
+		h.Close = true // its body ends with the connection
+	}
+	return end, nil
+}
+
+func (h *Head) reset(size int) {
+	*h = Head{Fields: h.Fields[:0], Length: -1, Size: size}
+}
+
+func (h *Head) version(v []byte) *Wrong {
+	switch string(v) {
+	case "HTTP/1.1":
+		h.Minor = 1
+	case "HTTP/1.0":
+	default:
+		return wrong(noSuchVersion, "the version %.20q is neither HTTP/1.0 nor HTTP/1.1", v)
+	}
+	return nil
+}
+
+func isValue(v []byte) bool {
+	for _, c := range v {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Head) fields(rest []byte) (hosts int, w *Wrong) {
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, crlf)
+		colon := bytes.IndexByte(line, ':')
+		if colon <= 0 || !isToken(line[:colon]) {
+			return 0, wrong(badRequest, "the field %.60q has no name that is a token", line)
+		}
+		if len(h.Fields) >= mostFields {
+			return 0, wrong(tooLarge, "more than %d fields", mostFields)
+		}
+		f := Field{line[:colon], bytes.Trim(line[colon+1:], " \t")}
+		if !isValue(f.Value) {
+			return 0, wrong(badRequest, "the field %.40s holds a byte that it may not", f.Name)
+		}
+		h.Fields = append(h.Fields, f)
+		switch len(f.Name) {
+		case 4:
+			if Is(f.Name, "host") {
+				hosts++
+			}
+		case 6:
+			h.Expects = h.Expects || Is(f.Name, "expect")
+		case 7:
+			h.Upgrade = h.Upgrade || Is(f.Name, "upgrade")
+		case 10:
+			if Is(f.Name, "connection") {
+				h.Close = h.Close || Lists(f.Value, "close")
+				h.KeepAlive = h.KeepAlive || Lists(f.Value, "keep-alive")
+			}
+		case 14:
+			if Is(f.Name, "content-length") {
+				if h.Length >= 0 {
+					return 0, wrong(badRequest, "two Content-Length fields")
+				}
+				n, err := strconv.ParseUint(string(f.Value), 10, 62)
+				if err != nil || len(f.Value) > 18 || f.Value[0] == '+' {
+					return 0, wrong(badRequest, "the Content-Length %.40q is no length", f.Value)
+				}
+				h.Length = int64(n)
+			}
+		case 17:
+			if Is(f.Name, "transfer-encoding") {
+				if h.Chunked || !Is(f.Value, "chunked") {
+					return 0, wrong(notImplemented, "the Transfer-Encoding %.40q is not chunked, once", f.Value)
+				}
+				h.Chunked = true
+			}
+		}
+	}
+	if h.Chunked && h.Length >= 0 {
+		return 0, wrong(badRequest, "both Content-Length and Transfer-Encoding")
+	}
+	return hosts, nil
+}
+
+// Is compares a name or a word with one in small letters.
+func Is(b []byte, small string) bool {
+	if len(b) != len(small) {
+		return false
+	}
+	for i, c := range b {
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		if c != small[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Lists says whether a comma-separated value names a word.
+func Lists(value []byte, small string) bool {
+	for len(value) > 0 {
+		var part []byte
+		part, value, _ = bytes.Cut(value, []byte(","))
+		if Is(bytes.Trim(part, " \t"), small) {
+			return true
+		}
+	}
+	return false
+}
+
+// Get is the value of the first field of a name in small letters, nil if there is none.
+func (h *Head) Get(small string) []byte {
+	for _, f := range h.Fields {
+		if Is(f.Name, small) {
+			return f.Value
+		}
+	}
+	return nil
+}
+
+// OneHop says whether a field concerns one connection alone (RFC 9110, 7.6.1) and is not passed on. Names that
+// Connection lists count too.
+func (h *Head) OneHop(f Field) bool {
+	for _, name := range []string{"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+		"upgrade", "expect", "proxy-authenticate", "proxy-authorization"} {
+		if Is(f.Name, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// Listed gives the names that Connection fields list beside close and keep-alive.
+func (h *Head) Listed() (names [][]byte) {
+	for _, f := range h.Fields {
+		if !Is(f.Name, "connection") {
+			continue
+		}
+		for rest := f.Value; len(rest) > 0; {
+			var part []byte
+			part, rest, _ = bytes.Cut(rest, []byte(","))
+			if part = bytes.Trim(part, " \t"); len(part) > 0 && !Is(part, "close") && !Is(part, "keep-alive") {
+				names = append(names, part)
+			}
+		}
+	}
+	return names
+}
+
+// Chunk reads the line that begins a chunk: its size, and how long the line is. 0, 0 means that more is to come.
+// Extensions are passed over.
+func Chunk(buf []byte) (size int64, line int, w *Wrong) {
+	end := bytes.Index(buf[:min(len(buf), 256)], crlf)
+	if end < 0 {
+		if len(buf) >= 256 {
+			return 0, 0, wrong(badRequest, "the line of a chunk's size has no end")
+		}
+		return 0, 0, nil
+	}
+	text := buf[:end]
+	if i := bytes.IndexByte(text, ';'); i >= 0 {
+		if !isValue(text[i:]) {
+			return 0, 0, wrong(badRequest, "a chunk's extension holds a byte that it may not")
+		}
+		text = bytes.TrimRight(text[:i], " \t")
+	}
+	if len(text) == 0 || len(text) > 15 {
+		return 0, 0, wrong(badRequest, "a chunk's size %.30q is none", text)
+	}
+	for _, c := range text {
+		switch {
+		case '0' <= c && c <= '9':
+			size = size<<4 | int64(c-'0')
+		case 'a' <= c && c <= 'f':
+			size = size<<4 | int64(c-'a'+10)
+		case 'A' <= c && c <= 'F':
+			size = size<<4 | int64(c-'A'+10)
+		default:
+			return 0, 0, wrong(badRequest, "a chunk's size %.30q is none", text)
+		}
+	}
+	return size, end + 2, nil
+}
--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -18,6 +18,7 @@
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/lrs"
+	"vetchwood/internal/nets"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -278,7 +279,7 @@
 	if a.Base != nil {
 		base = a.Base.Tag().ETag()
 	}
-	netpollGo(func() { s.tell(v.(*peer), a, tag, base, body) })
+	nets.Go(func() { s.tell(v.(*peer), a, tag, base, body) })
 }
 
 func (s *Server) tell(p *peer, a control.Answer, tag, base string, body []byte) {
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,237 @@
+// Package relay is a small forwarding proxy: it follows a director's tables and carries calls between sockets. What
+// goes where is decided in package carry; here are the sockets, on netpoll.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"vetchwood/internal/admit"
+	"vetchwood/internal/carry"
+	"vetchwood/internal/follow"
+	"vetchwood/internal/settings"
+	"vetchwood/internal/tables"
+	"vetchwood/internal/tally"
+)
+
+// Watch hears of what happens, for tests and rehearsals. Any part may be nil.
+type Watch struct {
+	Sent   func(route, mark string, host tables.Address) // a try is about to be written
+	Seen   func(follow.Update)
+	Joined func(bool)
+}
+
+// Relay is a running proxy.
+type Relay struct {
+	set    *settings.Relaying
+	log    *slog.Logger
+	watch  Watch
+	epoch  time.Time
+	follow *follow.Follower
+	client *http.Client
+	hosts  *hosts
+	meters *meters
+
+	mu      sync.Mutex
+	mind    *carry.Mind
+	turns   map[admit.Ticket]*waiter
+	tickets admit.Ticket
+	fresh   chan struct{} // closed when the tables change
+
+	ln       netpoll.Listener
+	loop     netpoll.EventLoop
+	clients  sync.Map // netpoll.Connection -> *client
+	inHand   atomic.Int64
+	draining atomic.Bool
+	done     chan struct{}
+	traced   atomic.Uint64
+}
+
+// waiter is a call that waits for its turn.
+type waiter struct {
+	call *carry.Call
+	turn chan bool // true: go; false: out
+}
+
+// New makes a proxy that has yet to run; Addr is known from now on.
+func New(set *settings.Relaying, watch Watch, log *slog.Logger) (*Relay, error) {
+	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	s := &Relay{set: set, log: log, watch: watch, epoch: time.Now(), turns: map[admit.Ticket]*waiter{}, fresh: make(chan struct{}),
+		done: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2,
+			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}}
+	s.mind = carry.New(set.Bounds, strconv.FormatInt(s.epoch.UnixNano(), 36), seed.Float64)
+	s.hosts = newHosts(set.Hosts, set.Bounds.PerHost)
+	s.meters = newMeters(s)
+	s.follow = follow.New(follow.Source{Directors: set.Directors, Proxy: set.Name, Zone: set.Zone, Rate: set.Rate, Wait: set.Wait,
+		Kept: set.Kept, Seen: s.take, Joined: watch.Joined, Log: log})
+	ln, err := netpoll.CreateListener("tcp", set.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen %s: %w", set.Listen, err)
+	}
+	s.ln = ln
+	s.loop, err = netpoll.NewEventLoop(s.serve, netpoll.WithOnPrepare(s.accept), netpoll.WithOnDisconnect(s.disconnect),
+		netpoll.WithWriteTimeout(set.Front.Slow))
+	return s, err
+}
+
+// Addr is where it listens.
+func (s *Relay) Addr() net.Addr { return s.ln.Addr() }
+
+// Held is the document in force.
+func (s *Relay) Held() *tables.Document { return s.follow.Held() }
+
+// Cut keeps it from its directors for a while.
+func (s *Relay) Cut(long time.Duration) { s.follow.Cut(long) }
+
+func (s *Relay) now() float64 { return float64(time.Since(s.epoch).Nanoseconds()) / 1e6 }
+
+// at is a time of the relay's clock.
+func (s *Relay) at(ms float64) time.Time {
+	return s.epoch.Add(time.Duration(min(ms, 1e12) * float64(time.Millisecond)))
+}
+
+// think has the mind to itself. It lets go of it whatever happens: a fault in one call's handling ends that call, and
+// must not stop all others.
+func (s *Relay) think(f func(now float64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.now())
+}
+
+func (s *Relay) take(u follow.Update) {
+	s.think(func(float64) {
+		s.mind.Follow(u.Doc)
+		close(s.fresh)
+		s.fresh = make(chan struct{})
+	})
+	s.log.Debug("tables.followed", "version", u.Doc.Version, "lines", u.Lines, "whole", u.Whole)
+	if s.watch.Seen != nil {
+		s.watch.Seen(u)
+	}
+}
+
+// Run carries calls until the context ends; then it closes its sockets and lets the calls in hand end, for as long as
+// the settings allow.
+func (s *Relay) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- s.loop.Serve(s.ln) }()
+	following, stop := context.WithCancel(context.Background())
+	defer stop()
+	followed := make(chan struct{})
+	go func() { s.follow.Run(following); close(followed) }()
+	go s.sweep()
+	reports := time.NewTicker(s.set.ReportEvery)
+	defer reports.Stop()
+	reported := make(chan struct{}, 1)
+	reported <- struct{}{}
+	var err error
+	for ctx.Err() == nil && err == nil {
+		select {
+		case <-ctx.Done():
+		case err = <-failed:
+		case <-reports.C:
+			select {
+			case <-reported:
+				go func() { s.report(following); reported <- struct{}{} }()
+			default: // the last one is still on its way; sums add up
+			}
+		}
+	}
+	s.draining.Store(true)
+	// It closes the listening socket and what is idle at once, and waits for the rest.
+	drain, cancel := context.WithTimeout(context.Background(), s.set.Drain)
+	s.loop.Shutdown(drain)
+	cancel()
+	left := s.inHand.Load()
+	s.clients.Range(func(c, _ any) bool { c.(netpoll.Connection).Close(); return true })
+	last, cancel := context.WithTimeout(following, 500*time.Millisecond)
+	s.report(last)
+	cancel()
+	stop()
+	close(s.done)
+	<-followed
+	s.hosts.close()
+	s.client.CloseIdleConnections()
+	s.log.Info("relay.stopped", "calls_cut", left)
+	return err
+}
+
+// Kill ends it without a word, as a process that dies.
+func (s *Relay) Kill(stop context.CancelFunc) {
+	s.set.Drain = 0
+	stop()
+	s.clients.Range(func(c, _ any) bool { c.(netpoll.Connection).Close(); return true })
+}
+
+// sweep closes what has been idle for long.
+func (s *Relay) sweep() {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case now := <-tick.C:
+			s.hosts.sweep(now)
+			s.clients.Range(func(c, v any) bool {
+				cl := v.(*client)
+				if last := cl.last.Load(); last > 0 && now.UnixNano()-last > int64(s.set.Front.Idle) {
+					c.(netpoll.Connection).Close()
+				}
+				return true
+			})
+		}
+	}
+}
+
+// report posts the sums that the director has yet to count.
+func (s *Relay) report(ctx context.Context) {
+	to := s.follow.Director()
+	var b *tally.Batch
+	s.think(func(float64) { b = s.mind.Tally().Cut(to) })
+	if b == nil {
+		return
+	}
+	fate := tally.Unclear
+	defer func() { s.think(func(float64) { s.mind.Tally().Ended(b.Key, fate) }) }()
+	body, err := json.Marshal(b.Request(s.set.Name, s.set.Zone))
+	if err != nil {
+		fate = tally.Refused
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, to+"/v1/proxies/"+s.set.Name+"/reports", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", b.Key)
+	res, err := s.client.Do(req)
+	if err != nil {
+		return
+	}
+	text, _ := io.ReadAll(io.LimitReader(res.Body, 1<<16))
+	res.Body.Close()
+	switch {
+	case res.StatusCode < 300:
+		fate = tally.Counted
+	case res.StatusCode == http.StatusNotFound: // it has not heard our poll yet, or forgot us: it counts later
+	case res.StatusCode < 500:
+		fate = tally.Refused
+		s.log.Warn("report.refused", "status", res.StatusCode, "body", string(text))
+	}
+}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -25,6 +25,7 @@
 	HeaderProxy = "Vetchwood-Proxy"
 	HeaderRoute = "Vetchwood-Route"
 	HeaderKey   = "Idempotency-Key"
+	HeaderSlice = "Vetchwood-Key" // that places the call in a slice
 )
 
 // HostShape is what a stand-in host can do.
--- a/internal/tables/document.go
+++ b/internal/tables/document.go
@@ -64,16 +64,19 @@
 
 // Document is all that a proxy is told, as of one step. What it points to is shared and never written again.
 type Document struct {
-	Version string            `json:"version"`
-	At      float64           `json:"at"` // when it was ordered, in Unix milliseconds
-	Pick    string            `json:"pick"`
-	Ejects  int               `json:"ejects,omitempty"`
-	TryWait float64           `json:"try_wait,omitempty"` // of the SLO time, for a try that another may follow
-	Hash    string            `json:"hash,omitempty"`
-	Routes  map[string]Route  `json:"routes"`
-	Hosts   map[Address]Host  `json:"hosts"`
-	Masked  map[Address]bool  `json:"masked"`
-	Tables  map[string]*Table `json:"tables"`
+	Version string  `json:"version"`
+	At      float64 `json:"at"` // when it was ordered, in Unix milliseconds
+	Pick    string  `json:"pick"`
+	Ejects  int     `json:"ejects,omitempty"`
+	TryWait float64 `json:"try_wait,omitempty"` // of the SLO time, for a try that another may follow
+	Hash    string  `json:"hash,omitempty"`
+	// FullIsProof says that a host which turns a call away has not begun it.
+	FullIsProof bool              `json:"full_is_proof,omitempty"`
+	LevelsBy    string            `json:"levels_by,omitempty"` // share, rate or none
+	Routes      map[string]Route  `json:"routes"`
+	Hosts       map[Address]Host  `json:"hosts"`
+	Masked      map[Address]bool  `json:"masked"`
+	Tables      map[string]*Table `json:"tables"`
 
 	Line Line `json:"-"`
 	Step Step `json:"-"`
--- a/internal/tables/patch.go
+++ b/internal/tables/patch.go
@@ -62,7 +62,8 @@
 	if from.At != to.At {
 		p.put(true, to.At, "at")
 	}
-	if from.Pick != to.Pick || from.Ejects != to.Ejects || from.TryWait != to.TryWait || from.Hash != to.Hash {
+	if from.Pick != to.Pick || from.Ejects != to.Ejects || from.TryWait != to.TryWait || from.Hash != to.Hash ||
+		from.FullIsProof != to.FullIsProof || from.LevelsBy != to.LevelsBy {
 		return []Op{{"replace", "", to}} // another deployment: nothing of the old is worth keeping
 	}
 	entries(&p, from.Hosts, to.Hosts, "hosts")
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,160 @@
+// Package tally adds up what a proxy meets until its director takes it: each batch once, whatever becomes of the
+// answer. No I/O, no clock.
+package tally
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"vetchwood/internal/lrs"
+	"vetchwood/internal/orca"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// Tries is what was met at a host.
+type Tries struct {
+	Good, Lost int
+	Spent      float64 // milliseconds of all good answers
+	Load       logic.Load
+}
+
+// Calls is what came for a route and table.
+type Calls struct{ Came, Unanswered int }
+
+type (
+	at struct {
+		route string
+		host  tables.Address
+	}
+	of struct{ route, table string }
+)
+
+// Batch is one report.
+type Batch struct {
+	Key   string
+	Tries map[at]Tries
+	Calls map[of]Calls
+}
+
+// Tally is one proxy's. Birth tells this life of the proxy from others.
+type Tally struct {
+	birth  string
+	serial int
+	open   Batch
+	sent   *Batch // handed out, and its fate not known yet
+	to     string // whom it was sent to
+	lost   int
+}
+
+func New(birth string) *Tally { return &Tally{birth: birth, open: fresh()} }
+
+func fresh() Batch { return Batch{Tries: map[at]Tries{}, Calls: map[of]Calls{}} }
+
+// Tried adds a try that ended; a load that came with its answer is the newest of that host.
+func (t *Tally) Tried(route string, host tables.Address, good bool, spent float64, load logic.Load) {
+	k := at{route, host}
+	x := t.open.Tries[k]
+	if good {
+		x.Good, x.Spent = x.Good+1, x.Spent+spent
+	} else {
+		x.Lost++
+	}
+	if load != (logic.Load{}) {
+		x.Load = load
+	}
+	t.open.Tries[k] = x
+}
+
+// Came adds a call that came; Unanswered one that was let in and got no answer.
+func (t *Tally) Came(route, table string) { t.calls(route, table, Calls{1, 0}) }
+func (t *Tally) Unanswered(route, table string) {
+	t.calls(route, table, Calls{0, 1})
+}
+
+func (t *Tally) calls(route, table string, c Calls) {
+	k := of{route, table}
+	x := t.open.Calls[k]
+	t.open.Calls[k] = Calls{x.Came + c.Came, x.Unanswered + c.Unanswered}
+}
+
+// Cut gives what is to be sent to a director now, nil if there is nothing. A batch whose fate is not known is sent
+// again, under its key, to the same director, who counts it once. Another director is sent it too: it has not counted
+// it, and what the first one counted went with that one's knowledge.
+func (t *Tally) Cut(to string) *Batch {
+	if t.sent == nil {
+		if len(t.open.Tries) == 0 && len(t.open.Calls) == 0 {
+			return nil
+		}
+		t.serial++
+		b := t.open
+		b.Key = fmt.Sprintf("%s-%d", t.birth, t.serial)
+		t.sent, t.open = &b, fresh()
+	}
+	t.to = to
+	return t.sent
+}
+
+// Fate of a batch.
+type Fate int
+
+const (
+	Counted Fate = iota
+	Refused      // it will never be counted: dropped, or it would block all that follows
+	Unclear
+)
+
+// Ended tells what became of the batch that was cut last.
+func (t *Tally) Ended(key string, f Fate) {
+	if t.sent == nil || t.sent.Key != key {
+		return
+	}
+	switch f {
+	case Refused:
+		t.lost++
+		fallthrough
+	case Counted:
+		t.sent = nil
+	}
+}
+
+// Dropped is how many batches were refused.
+func (t *Tally) Dropped() int { return t.lost }
+
+// Request is the batch in the published form.
+func (b *Batch) Request(proxy, zone string) lrs.Request {
+	q := lrs.Request{Node: lrs.Node{ID: proxy, Locality: lrs.Locality{Zone: zone}}}
+	for _, k := range slices.SortedFunc(maps.Keys(b.Calls), func(x, y of) int {
+		return cmp.Or(cmp.Compare(x.route, y.route), cmp.Compare(x.table, y.table))
+	}) {
+		c := b.Calls[k]
+		q.ClusterStats = append(q.ClusterStats, lrs.Cluster{Name: k.route, ServiceName: k.table, Localities: []lrs.Upstream{{
+			Metrics: []lrs.Metric{{Name: lrs.Calls, Finished: lrs.Count(c.Came), Total: float64(c.Came)},
+				{Name: lrs.Unanswered, Finished: lrs.Count(c.Unanswered), Total: float64(c.Unanswered)}}}}})
+	}
+	byRoute := map[string]*lrs.Upstream{}
+	for _, k := range slices.SortedFunc(maps.Keys(b.Tries), func(x, y at) int {
+		return cmp.Or(cmp.Compare(x.route, y.route), cmp.Compare(x.host, y.host))
+	}) {
+		t := b.Tries[k]
+		address, err := lrs.At(k.host)
+		if err != nil {
+			continue
+		}
+		e := lrs.Endpoint{Address: address, Successful: lrs.Count(t.Good), Errors: lrs.Count(t.Lost), Issued: lrs.Count(t.Good + t.Lost),
+			Metrics: []lrs.Metric{{Name: lrs.Spent, Finished: lrs.Count(t.Good), Total: t.Spent}}}
+		orca.Each(t.Load, func(name string, v float64) {
+			e.Metrics = append(e.Metrics, lrs.Metric{Name: name, Finished: 1, Total: v})
+		})
+		if byRoute[k.route] == nil {
+			byRoute[k.route] = &lrs.Upstream{Locality: lrs.Locality{Zone: zone}}
+		}
+		byRoute[k.route].Endpoints = append(byRoute[k.route].Endpoints, e)
+	}
+	for _, route := range slices.Sorted(maps.Keys(byRoute)) {
+		q.ClusterStats = append(q.ClusterStats, lrs.Cluster{Name: route, Localities: []lrs.Upstream{*byRoute[route]}})
+	}
+	return q
+}
