--- a/cmd/vetchwood/commands.go
+++ b/cmd/vetchwood/commands.go
@@ -41,10 +41,22 @@
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"The director's settings (HCL)." type:"path"`
+	File string `arg:"" help:"A director's or a proxy's settings (HCL)." type:"path"`
 }
 
 func (c *checkCmd) Run(out io.Writer) error {
+	if top, err := settings.Open(c.File, nil); err == nil && top.Has("relay") {
+		s, err := settings.LoadRelay(c.File)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: valid\n  relay %s listens on %s and follows %s\n", c.File, s.Name, s.Listen, strings.Join(s.Directors, ", "))
+		fmt.Fprintf(out, "  holds %d calls, %d more wait; %d at one host\n", s.Bounds.InHand, s.Bounds.Queue, s.Bounds.PerHost)
+		for _, r := range s.Routes {
+			fmt.Fprintf(out, "  route %-24s %s%s, mark %s\n", r.Route, r.Prefix, map[bool]string{true: ", any method"}[len(r.Methods) == 0], r.Mark)
+		}
+		return nil
+	}
 	s, err := settings.Load(c.File)
 	if err != nil {
 		return err
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -113,6 +113,9 @@
 
 func NewGate(most, queue int) *Gate { return &Gate{most: most, queue: queue} }
 
+// Bind changes how much it holds.
+func (g *Gate) Bind(most, queue int) { g.most, g.queue = most, queue }
+
 // Come is a call that must begin by until. Where it takes the place of one that waits, that one is out.
 func (g *Gate) Come(t Ticket, importance, now, until float64) (v Verdict, out Ticket) {
 	if g.running < g.most {
@@ -137,7 +140,7 @@
 // whose client gives up before are out.
 func (g *Gate) End(now float64) (next Ticket, out []Ticket) {
 	g.running--
-	for len(g.waiting) > 0 {
+	for len(g.waiting) > 0 && g.running < g.most {
 		best := g.waiting[0]
 		for _, w := range g.waiting { // a short line; its other end is asked for far less often
 			if w.importance > best.importance || w.importance == best.importance && w.serial < best.serial {
--- a/internal/carry/mind.go
+++ b/internal/carry/mind.go
@@ -172,6 +172,12 @@
 	return h
 }
 
+// Bind changes what the proxy can hold. More than that may be in hand for a while.
+func (m *Mind) Bind(b Bounds) {
+	m.bounds = b
+	m.gate.Bind(b.InHand, b.Queue)
+}
+
 // Held is the document in force.
 func (m *Mind) Held() *tables.Document { return m.doc }
 
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"vetchwood/internal/relay"
 	"vetchwood/internal/settings"
@@ -28,6 +31,20 @@
 		}
 		defer admin.Close()
 	}
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
+	go func() {
+		for range again {
+			set, err := settings.LoadRelay(file)
+			if err == nil {
+				err = r.Reload(set)
+			}
+			if err != nil {
+				log.Error("relay.not_reloaded", "error", err)
+			}
+		}
+	}()
 	log.Info("relay.started", "listen", r.Addr().String(), "admin", set.Admin)
 	err = r.Run(ctx)
 	if errors.Is(err, context.Canceled) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -130,7 +130,7 @@
 	a := &answer{conn: conn}
 	r := conn.Reader()
 	for {
-		size, err := headSize(conn, until, s.set.Front.MostHead)
+		size, err := headSize(conn, until, s.in().Front.MostHead)
 		if err != nil {
 			return nil, carry.Unclear
 		}
@@ -203,7 +203,7 @@
 // hold reads the body as far as the buffer goes. What is whole can still be replaced by another try's; what is not goes
 // to the client as it comes.
 func (s *Relay) hold(a *answer, until time.Time) error {
-	r, most := a.conn.Reader(), s.set.Hosts.Buffer
+	r, most := a.conn.Reader(), s.in().Hosts.Buffer
 	switch {
 	case a.head.Chunked:
 		for {
@@ -309,7 +309,7 @@
 	if buf[line] == '\r' && buf[line+1] == '\n' {
 		return r.Skip(line + 2)
 	}
-	size, err := headSize(conn, until, s.set.Front.MostHead)
+	size, err := headSize(conn, until, s.in().Front.MostHead)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -44,8 +44,9 @@
 		}
 		c.Close()
 	}
+	connect := h.set.Connect
 	h.mu.Unlock()
-	return h.dials("tcp", string(a), min(h.set.Connect, max(time.Until(until), time.Millisecond)))
+	return h.dials("tcp", string(a), min(connect, max(time.Until(until), time.Millisecond)))
 }
 
 // put takes back a connection on which nothing is owed.
@@ -63,6 +64,13 @@
 	h.idle[a] = append(h.idle[a], idle{c, time.Now()})
 }
 
+// change puts other settings in force.
+func (h *hosts) change(set settings.RelayHosts, most int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.set, h.most = set, most
+}
+
 func (h *hosts) sweep(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -34,7 +34,7 @@
 }
 
 func newMeters(s *Relay) *meters {
-	m := &meters{s: s, reg: prometheus.NewRegistry(), oneIn: uint64(s.set.TraceOneIn)}
+	m := &meters{s: s, reg: prometheus.NewRegistry(), oneIn: uint64(s.in().TraceOneIn)}
 	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.took = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "vetchwood_relay_call_seconds",
 		Help: "Time of calls, by route and how they ended.", NativeHistogramBucketFactor: 1.1}, []string{"route", "ended"})
@@ -87,7 +87,7 @@
 	if m.oneIn > 0 {
 		if out, err := stdouttrace.New(stdouttrace.WithWriter(os.Stdout)); err == nil {
 			m.provider = sdk.NewTracerProvider(sdk.WithBatcher(out), sdk.WithResource(resource.NewSchemaless(
-				attribute.String("service.name", "vetchwood-relay"), attribute.String("service.instance.id", s.set.Name))))
+				attribute.String("service.name", "vetchwood-relay"), attribute.String("service.instance.id", s.in().Name))))
 			m.tracer = m.provider.Tracer("vetchwood/relay")
 		}
 	}
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -80,7 +80,7 @@
 	if !s.write(cl, head, nil) || len(a.body) > 0 && !send(a.body) {
 		return false
 	}
-	slow := func() time.Time { return time.Now().Add(s.set.Front.Slow) }
+	slow := func() time.Time { return time.Now().Add(s.in().Front.Slow) }
 	for {
 		for a.left > 0 || a.toEnd {
 			err := more(a.conn, 1, slow())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,7 +12,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +38,7 @@
 
 // Relay is a running proxy.
 type Relay struct {
-	set    *settings.Relaying
+	force  atomic.Pointer[settings.Relaying] // the settings in force
 	log    *slog.Logger
 	watch  Watch
 	epoch  time.Time
@@ -69,9 +71,10 @@
 // New makes a proxy that has yet to run; Addr is known from now on.
 func New(set *settings.Relaying, watch Watch, log *slog.Logger) (*Relay, error) {
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	s := &Relay{set: set, log: log, watch: watch, epoch: time.Now(), turns: map[admit.Ticket]*waiter{}, fresh: make(chan struct{}),
+	s := &Relay{log: log, watch: watch, epoch: time.Now(), turns: map[admit.Ticket]*waiter{}, fresh: make(chan struct{}),
 		done: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2,
 			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}}
+	s.force.Store(set)
 	s.mind = carry.New(set.Bounds, strconv.FormatInt(s.epoch.UnixNano(), 36), seed.Float64)
 	s.hosts = newHosts(set.Hosts, set.Bounds.PerHost)
 	s.meters = newMeters(s)
@@ -96,6 +99,32 @@
 // Cut keeps it from its directors for a while.
 func (s *Relay) Cut(long time.Duration) { s.follow.Cut(long) }
 
+func (s *Relay) in() *settings.Relaying { return s.force.Load() }
+
+// Reload puts other settings in force, as one step: calls in hand end by those they began with, as far as they go. What
+// can't change while it runs is named, and then nothing changes.
+func (s *Relay) Reload(set *settings.Relaying) error {
+	was := s.in()
+	var fixed []string
+	for name, same := range map[string]bool{"the relay's name": set.Name == was.Name, "listen": set.Listen == was.Listen,
+		"admin": set.Admin == was.Admin, "zone": set.Zone == was.Zone, "directors": slices.Equal(set.Directors, was.Directors),
+		"kept": set.Kept == was.Kept, "trace_one_in": set.TraceOneIn == was.TraceOneIn, "report_every": set.ReportEvery == was.ReportEvery,
+		"rate": set.Rate == was.Rate, "wait": set.Wait == was.Wait} {
+		if !same {
+			fixed = append(fixed, name)
+		}
+	}
+	if len(fixed) > 0 {
+		slices.Sort(fixed)
+		return fmt.Errorf("can't change while the proxy runs: %s", strings.Join(fixed, ", "))
+	}
+	s.think(func(float64) { s.mind.Bind(set.Bounds) })
+	s.hosts.change(set.Hosts, set.Bounds.PerHost)
+	s.force.Store(set)
+	s.log.Info("relay.reloaded", "routes", len(set.Routes))
+	return nil
+}
+
 func (s *Relay) now() float64 { return float64(time.Since(s.epoch).Nanoseconds()) / 1e6 }
 
 // at is a time of the relay's clock.
@@ -133,7 +162,7 @@
 	followed := make(chan struct{})
 	go func() { s.follow.Run(following); close(followed) }()
 	go s.sweep()
-	reports := time.NewTicker(s.set.ReportEvery)
+	reports := time.NewTicker(s.in().ReportEvery)
 	defer reports.Stop()
 	reported := make(chan struct{}, 1)
 	reported <- struct{}{}
@@ -152,7 +181,7 @@
 	}
 	s.draining.Store(true)
 	// It closes the listening socket and what is idle at once, and waits for the rest.
-	drain, cancel := context.WithTimeout(context.Background(), s.set.Drain)
+	drain, cancel := context.WithTimeout(context.Background(), s.in().Drain)
 	s.loop.Shutdown(drain)
 	cancel()
 	left := s.inHand.Load()
@@ -171,7 +200,9 @@
 
 // Kill ends it without a word, as a process that dies.
 func (s *Relay) Kill(stop context.CancelFunc) {
-	s.set.Drain = 0
+	now := *s.in()
+	now.Drain = 0
+	s.force.Store(&now)
 	stop()
 	s.clients.Range(func(c, _ any) bool { c.(netpoll.Connection).Close(); return true })
 }
@@ -188,7 +219,7 @@
 			s.hosts.sweep(now)
 			s.clients.Range(func(c, v any) bool {
 				cl := v.(*client)
-				if last := cl.last.Load(); last > 0 && now.UnixNano()-last > int64(s.set.Front.Idle) {
+				if last := cl.last.Load(); last > 0 && now.UnixNano()-last > int64(s.in().Front.Idle) {
 					c.(netpoll.Connection).Close()
 				}
 				return true
@@ -207,14 +238,14 @@
 	}
 	fate := tally.Unclear
 	defer func() { s.think(func(float64) { s.mind.Tally().Ended(b.Key, fate) }) }()
-	body, err := json.Marshal(b.Request(s.set.Name, s.set.Zone))
+	body, err := json.Marshal(b.Request(s.in().Name, s.in().Zone))
 	if err != nil {
 		fate = tally.Refused
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, to+"/v1/proxies/"+s.set.Name+"/reports", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, to+"/v1/proxies/"+s.in().Name+"/reports", bytes.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -379,3 +379,29 @@
 	stop()
 	<-done
 }
+
+// A reload changes routes and bounds as one step, while calls go on; what can't change is named, and nothing changes.
+func TestReload(t *testing.T) {
+	h := newFaulty(t)
+	s, _, at := start(t, "", document(1, 0, h.at()))
+	next := *s.in()
+	next.Routes = next.Routes[:1]
+	next.Bounds.InHand, next.Bounds.Queue = 0, 0
+	next.Zone, next.Listen = "elsewhere", "127.0.0.1:1"
+	if err := s.Reload(&next); err == nil || !strings.Contains(err.Error(), "listen, zone") {
+		t.Fatalf("%v", err)
+	}
+	if status, _ := ask(t, at, "mutating", "a"); status != 200 {
+		t.Fatalf("changed by a reload that was refused: %d", status)
+	}
+	next.Zone, next.Listen = s.in().Zone, s.in().Listen
+	if err := s.Reload(&next); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := ask(t, at, "mutating", "b"); status != 404 {
+		t.Fatalf("a route that is gone: %d", status)
+	}
+	if status, _ := ask(t, at, "repeatable", "c"); status != 503 {
+		t.Fatalf("none may be in hand: %d", status)
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -85,11 +85,11 @@
 // request reads one and answers it; false if the connection can't go on.
 func (s *Relay) request(cl *client) bool {
 	conn := cl.conn
-	until := time.Now().Add(s.set.Front.Slow)
-	size, err := headSize(conn, until, s.set.Front.MostHead)
+	until := time.Now().Add(s.in().Front.Slow)
+	size, err := headSize(conn, until, s.in().Front.MostHead)
 	switch {
 	case errors.Is(err, errHead):
-		s.refuse(cl, http.StatusRequestHeaderFieldsTooLarge, "the head is longer than "+strconv.Itoa(s.set.Front.MostHead)+" bytes", 0, true)
+		s.refuse(cl, http.StatusRequestHeaderFieldsTooLarge, "the head is longer than "+strconv.Itoa(s.in().Front.MostHead)+" bytes", 0, true)
 		return false
 	case errors.Is(err, netpoll.ErrReadTimeout):
 		s.refuse(cl, http.StatusRequestTimeout, "the request took too long to come", 0, true)
@@ -122,7 +122,7 @@
 		s.refuse(cl, status, why, 0, true)
 		return false
 	}
-	m := choose.Find(s.set.Routes, &h)
+	m := choose.Find(s.in().Routes, &h)
 	if m == nil {
 		return s.refuse(cl, http.StatusNotFound, "no route of the settings matches the request", 0, h.Close)
 	}
@@ -131,7 +131,7 @@
 
 // body reads a request's. It is held whole, so that it can be sent again.
 func (s *Relay) body(conn netpoll.Connection, h *h1.Head, until time.Time) (body []byte, status int, why string) {
-	most := int64(s.set.Front.MostBody)
+	most := int64(s.in().Front.MostBody)
 	tooLong := fmt.Sprintf("the body is longer than %d bytes", most)
 	fail := func(err error) ([]byte, int, string) {
 		var w *h1.Wrong
