--- a/cmd/vetchwood/main.go
+++ b/cmd/vetchwood/main.go
@@ -31,6 +31,7 @@
 	Run      runCmd      `cmd:"" help:"Run a director: lay tables, publish them to proxies that poll."`
 	Relay    relayCmd    `cmd:"" help:"Run a proxy: follow a director's tables and carry calls by them."`
 	Check    checkCmd    `cmd:"" help:"Validate a director's file and print what follows from it."`
+	Tables   tablesCmd   `cmd:"" help:"Versions of the tables: list, show, diff, go back, hold, release, verify."`
 	Host     hostCmd     `cmd:"" help:"Run a stand-in host, and list it at a roster."`
 	Roster   rosterCmd   `cmd:"" help:"Run a stand-in for the list of hosts (Consul's health interface)."`
 	Rehearse rehearseCmd `cmd:"" help:"Raise a director and stand-ins on this machine and play a day."`
@@ -71,7 +72,7 @@
 	defer stop()
 	ctx.BindTo(sig, (*context.Context)(nil))
 	ctx.BindTo(out, (*io.Writer)(nil))
-	ctx.Bind(slog.New(handler))
+	ctx.Bind(slog.New(handler), &p)
 	err = ctx.Run()
 	var invalid *settings.Invalid
 	switch {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -14,28 +14,32 @@
 
 // Core is one director's.
 type Core struct {
-	svc     Service
-	module  *logic.Director
-	names   *names
-	line    tables.Line
-	world   *world      // as ordered
-	stored  *world      // the newest that would outlive a crash
-	opening tables.Step // the first of this start
-	unsaved []*step
-	channel *channel.Channel
-	intake  *sums.Intake
-	streams map[logic.ProxyID]*stream
-	ids     []logic.ProxyID // joined, in order
-	waits   map[Ticket]logic.ProxyID
-	kept    map[tables.Tag]*tables.Document
-	oldest  []tables.Tag
-	timers  []timer
-	routes  map[string]logic.RouteID
-	listed  map[tables.Address]bool
-	swept   logic.Millis
-	notes   []any
-	out     []any
-	figures Figures
+	svc      Service
+	module   *logic.Director
+	names    *names
+	line     tables.Line
+	world    *world      // as ordered
+	stored   *world      // the newest that would outlive a crash
+	opening  tables.Step // the first of this start
+	unsaved  []*step
+	channel  *channel.Channel
+	intake   *sums.Intake
+	streams  map[logic.ProxyID]*stream
+	ids      []logic.ProxyID // joined, in order
+	waits    map[Ticket]logic.ProxyID
+	kept     map[tables.Tag]*tables.Document
+	oldest   []tables.Tag
+	timers   []timer
+	routes   map[string]logic.RouteID
+	listed   map[tables.Address]bool
+	swept    logic.Millis
+	list0    []Listed // the list as it was told last
+	pinned   map[logic.TableID]Pin
+	operated tables.Step // the newest version by an operator
+	cause    cause
+	notes    []any
+	out      []any
+	figures  Figures
 }
 
 type timer struct {
@@ -115,13 +119,11 @@
 		d.carry(&saved)
 	}
 	c.notes = append(c.notes, logic.Roster{Kind: logic.FromDisk, Entries: c.entries(saved.List, now)})
+	c.list0, c.pinned = saved.List, map[logic.TableID]Pin{}
+	maps.Copy(c.pinned, saved.Pinned)
 	for t := range logic.TableID(f.Slices) {
-		c.notes = append(c.notes, logic.Custody{Slice: t, Given: true})
-		table := d.is.tables[t]
-		for _, a := range slices.Sorted(maps.Keys(table.Lines)) {
-			if k, known := c.names.hosts[a]; known {
-				c.notes = append(c.notes, logic.OnRecord{Slice: t, Host: k.Number, Weight: table.Lines[a]})
-			}
+		if _, held := c.pinned[t]; !held {
+			c.give(t, d.is)
 		}
 	}
 	for _, a := range slices.Sorted(maps.Keys(d.is.masked)) {
@@ -192,6 +194,12 @@
 			c.list(now, i.Hosts)
 		case Stored:
 			c.settle(now, i.Step)
+		case Rollback:
+			c.rollback(now, i)
+		case Release:
+			c.release(now, i)
+		case Pins:
+			c.tellPins(now, i.Ticket)
 		case Probed:
 			if k, known := c.names.hosts[i.Address]; known {
 				c.notes = append(c.notes, logic.Probed{Host: k.Number, Spent: i.Spent, Good: i.Good, Load: i.Load})
@@ -213,6 +221,7 @@
 		c.notes = nil
 		c.carryOut(now, c.module.Handle(now, notes))
 	}
+	c.tend(now)
 	return c.take()
 }
 
@@ -246,9 +255,13 @@
 			d.order(o)
 		}
 	}
-	if !d.wrote {
-		return
+	if d.wrote {
+		c.commit(now, d)
 	}
+}
+
+// commit makes a draft the newest version: on its way to the store, and with its messages from there to the channel.
+func (c *Core) commit(now logic.Millis, d *draft) {
 	c.world = d.is
 	s := &step{world: d.is}
 	for _, id := range c.ids {
@@ -511,6 +524,7 @@
 
 // list follows the list of hosts.
 func (c *Core) list(now logic.Millis, hosts []Listed) {
+	c.list0 = slices.Clone(hosts)
 	c.notes = append(c.notes, logic.Roster{Kind: logic.Whole, Entries: c.entries(hosts, now)})
 	c.out = append(c.out, Persist{Change{Line: c.line, List: slices.Clone(hosts), Known: maps.Clone(c.names.hosts)}})
 	c.say(Event{Name: "list.told", Detail: strconv.Itoa(len(hosts)) + " hosts"})
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -89,6 +89,9 @@
 	if c.List != nil {
 		d.List = c.List
 	}
+	if c.Pinned != nil {
+		d.Pinned = c.Pinned
+	}
 }
 
 func (r *rig) carry(out []any) {
@@ -443,3 +446,111 @@
 		t.Fatalf("%v lines waited, of %v", f.MostWaiting, f.QueueLimit)
 	}
 }
+
+// roll asks for a rollback to what a version held.
+func (r *rig) roll(to Saved, who string, since tables.Step, force bool) Answer {
+	r.ticket++
+	r.do(Rollback{Ticket: r.ticket, To: to.Step, Content: to.Tables, Since: since, Who: who, Why: "test", Force: force})
+	return r.answers[r.ticket]
+}
+
+// version keeps what is ordered now, as the history does.
+func (r *rig) version() Saved {
+	s := Saved{Step: r.c.world.step, Tables: map[logic.TableID]*tables.Table{}}
+	for id, t := range r.c.world.tables {
+		s.Tables[id] = t
+	}
+	return s
+}
+
+// A rollback is a new version with old content, held against the module until it is released; a pinned host that drains
+// goes out within the grace all the same, and nothing is bare.
+func TestARollbackHoldsWhatTheRulesAllow(t *testing.T) {
+	r, d := settled(t, 4)
+	old := r.version()
+	list := up(4)
+	list[0].State = logic.Draining
+	r.do(List{list})
+	r.pass(2500)
+	list[0].State = logic.Up
+	r.do(List{list})
+	r.pass(6000)
+	r.want(r.poll("p1", 0), Whole)
+	before := r.c.world.step
+	a := r.roll(old, "ann", before, true)
+	if a.Kind != Done || a.Operated.Version <= before || len(a.Operated.Tables) != 8 {
+		t.Fatalf("%+v", a)
+	}
+	r.pass(300)
+	got := r.want(r.poll("p1", 0), Whole)
+	for name, table := range got.Tables {
+		for h, w := range d.Tables[name].Lines {
+			if table.Lines[h] != w {
+				t.Fatalf("table %s: %v, wanted as in version %d: %v", name, table.Lines, old.Step, d.Tables[name].Lines)
+			}
+		}
+	}
+	list[1].State = logic.Draining
+	r.do(List{list})
+	r.pass(300)
+	got = r.want(r.poll("p1", 0), Whole)
+	for name, table := range got.Tables {
+		if table.Lines["10.0.0.1:80"] > 0 || len(table.Lines) == 0 {
+			t.Fatalf("table %s: %v though host 1 drains", name, table.Lines)
+		}
+	}
+	// A start over holds on to the pins.
+	again := start(t, service(8), r.disk)
+	again.do(List{list})
+	again.pass(3000)
+	if got := again.want(again.poll("p1", 0), Whole); len(again.c.pinned) != 8 || got.Tables["0"].Lines["10.0.0.1:80"] > 0 {
+		t.Fatalf("%d are pinned after a start over: %s", len(again.c.pinned), got.Whole())
+	}
+	again.ticket++
+	again.do(Release{Ticket: again.ticket, Who: "ann", Why: "test"})
+	list[2].State = logic.Draining
+	again.do(List{list})
+	again.pass(2000)
+	if len(again.c.pinned) != 0 || again.disk.Pinned == nil || len(again.disk.Pinned) != 0 {
+		t.Fatal("still pinned after the release")
+	}
+	for id, table := range again.c.world.tables { // the module has them again, and moves them
+		if table.Lines["10.0.0.2:80"] > 0 && !again.c.world.masked["10.0.0.2:80"] {
+			t.Fatalf("table %d stays on a host that drains: %v", id, table.Lines)
+		}
+	}
+}
+
+func TestRollbacksThatAreRefused(t *testing.T) {
+	r, _ := settled(t, 4)
+	old := r.version()
+	moved := Saved{Step: old.Step, Tables: map[logic.TableID]*tables.Table{}}
+	for id, table := range old.Tables {
+		lines := map[tables.Address]float64{"10.0.0.0:80": 1}
+		moved.Tables[id] = &tables.Table{From: table.From, To: table.To, Lines: lines}
+	}
+	if a := r.roll(moved, "ann", old.Step, false); a.Kind != Refused || a.Operated.Moved <= mostMoved || len(r.c.pinned) > 0 {
+		t.Errorf("moves too much: %+v", a)
+	}
+	if a := r.roll(old, "", old.Step, false); a.Kind != Wrong {
+		t.Errorf("nobody asks: %+v", a)
+	}
+	if a := r.roll(old, "ann", old.Step, false); a.Kind != Done {
+		t.Errorf("%+v", a)
+	}
+	if a := r.roll(moved, "bob", old.Step, true); a.Kind != Conflict {
+		t.Errorf("two at once: %+v", a)
+	}
+	gone := up(4)
+	for i := range gone {
+		gone[i].State = logic.Gone
+	}
+	r.do(List{gone})
+	if a := r.roll(old, "bob", r.c.world.step, true); a.Kind != Refused {
+		t.Errorf("leaves tables bare: %+v", a)
+	}
+	own := service(0)
+	if a := start(t, own, Saved{}).roll(old, "ann", 9, true); a.Kind != Wrong {
+		t.Errorf("without slices: %+v", a)
+	}
+}
--- a/internal/control/types.go
+++ b/internal/control/types.go
@@ -98,6 +98,8 @@
 		Base   *tables.Document
 		Patch  []byte // the difference, encoded
 		Why    string
+		// Operated is for operators alone.
+		Operated *Operated
 	}
 	// Persist must outlive a crash before Stored is said.
 	Persist struct{ Change Change }
@@ -119,21 +121,34 @@
 	Unknown // no such proxy, or more than the settings allow
 	Wrong   // it names what is not there
 	Busy
+	Done     // an operator's change is ordered, or told
+	Conflict // another operator was faster
+	Refused  // it would break a rule, or move too much
 )
 
-// Change is what a step writes; nil parts stay as they were.
+// Change is what a step writes; nil parts stay as they were. Who and Why are for the audit: the module's steps have none.
 type Change struct {
-	Line    tables.Line
-	Step    tables.Step
-	At      float64
-	Tables  map[logic.TableID]*tables.Table // nil: gone
-	Masked  map[tables.Address]bool
-	Levels  []tables.Level
-	Bound   map[logic.ProxyID][]logic.TableID
-	Carried map[logic.ProxyID]map[string]*tables.Table // what proxies held before the start, by route
-	Proxies map[string]logic.ProxyID
-	Known   map[tables.Address]KnownHost
-	List    []Listed
+	Who, Why string                `json:",omitempty"`
+	From     tables.Step           `json:",omitempty"` // the version that it goes back to
+	Pinned   map[logic.TableID]Pin // all of them, where one changed
+	Line     tables.Line
+	Step     tables.Step
+	At       float64
+	Tables   map[logic.TableID]*tables.Table // nil: gone
+	Masked   map[tables.Address]bool
+	Levels   []tables.Level
+	Bound    map[logic.ProxyID][]logic.TableID
+	Carried  map[logic.ProxyID]map[string]*tables.Table // what proxies held before the start, by route
+	Proxies  map[string]logic.ProxyID
+	Known    map[tables.Address]KnownHost
+	List     []Listed
+}
+
+// Pin is a table that an operator holds as it is.
+type Pin struct {
+	Lines map[tables.Address]float64
+	Step  tables.Step // the version that its lines are from
+	Who   string
 }
 
 // KnownHost keeps a host's number over restarts.
@@ -155,6 +170,7 @@
 	Proxies map[string]logic.ProxyID
 	Known   map[tables.Address]KnownHost
 	List    []Listed
+	Pinned  map[logic.TableID]Pin
 }
 
 // Figures are counted for the operator.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"vetchwood/internal/control"
 	"vetchwood/internal/director"
 	"vetchwood/internal/longpoll"
+	"vetchwood/internal/operate"
 	"vetchwood/internal/orca"
 	"vetchwood/internal/roster"
 	"vetchwood/internal/settings"
@@ -28,7 +29,7 @@
 // Run is a director's life: until the context ends, or something that it can't do without fails.
 func Run(ctx context.Context, s *settings.Running, log *slog.Logger) error {
 	log = log.With("director", s.Name)
-	st, err := store.Open(s.StorePath)
+	st, err := store.Open(s.StorePath, s.History)
 	if err != nil {
 		return err
 	}
@@ -45,7 +46,7 @@
 	defer cancel()
 	failed := make(chan error, 4)
 	if s.Admin != "" {
-		admin, err := serveAdmin(s.Admin, d, front)
+		admin, err := serveAdmin(s.Admin, d, front, st)
 		if err != nil {
 			front.Close()
 			return fmt.Errorf("admin %s: %w", s.Admin, err)
@@ -96,7 +97,7 @@
 	}
 }
 
-func serveAdmin(address string, d *director.Director, front *longpoll.Server) (*http.Server, error) {
+func serveAdmin(address string, d *director.Director, front *longpoll.Server, st *store.Store) (*http.Server, error) {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	gauge := func(name, help string, of func(control.Figures) float64) {
@@ -133,6 +134,7 @@
 		Help: "The longest that the loop was busy with one batch."}, func() float64 { return d.LongestTurn().Seconds() }))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.Handle(operate.Path, operate.Handler(d, st))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !d.Ready() {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -38,6 +38,7 @@
 	offset  float64
 	front   Front
 	tickets atomic.Uint64
+	askers  sync.Map // control.Ticket -> chan control.Answer
 
 	mu    sync.Mutex
 	box   []any
@@ -89,6 +90,20 @@
 	}
 }
 
+// Ask puts a question into the inbox and waits for its answer; for operators, of whom there are few.
+func (d *Director) Ask(ctx context.Context, in func(control.Ticket) any) (control.Answer, error) {
+	t, waits := d.Ticket(), make(chan control.Answer, 1)
+	d.askers.Store(t, waits)
+	defer d.askers.Delete(t)
+	d.Post(in(t))
+	select {
+	case a := <-waits:
+		return a, nil
+	case <-ctx.Done():
+		return control.Answer{}, ctx.Err()
+	}
+}
+
 // Ready says whether the opening state is stored, so that polls are answered.
 func (d *Director) Ready() bool { return d.ready.Load() }
 
@@ -139,7 +154,11 @@
 	for _, o := range out {
 		switch o := o.(type) {
 		case control.Answer:
-			d.front.Answer(o)
+			if waits, asked := d.askers.LoadAndDelete(o.Ticket); asked {
+				waits.(chan control.Answer) <- o
+			} else {
+				d.front.Answer(o)
+			}
 		case control.Persist:
 			d.writes <- o.Change
 		case control.Probe:
--- /dev/null
+++ b/internal/operate/operate.go
@@ -0,0 +1,321 @@
+// Package operate is the operators' endpoint and its client: what versions there are, how they differ, going back to
+// one, holding tables and letting them go. What comes of a wish is decided in packages control and pins.
+package operate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"vetchwood/internal/control"
+	"vetchwood/internal/store"
+	"vetchwood/internal/tables"
+	"vetchwood/logic"
+)
+
+// Director is what the endpoint needs of one.
+type Director interface {
+	Ask(ctx context.Context, in func(control.Ticket) any) (control.Answer, error)
+}
+
+// Store is what it needs of the history.
+type Store interface {
+	Versions(most int) ([]store.Version, error)
+	At(tables.Step) (control.Saved, error)
+	Verify() (int, []error)
+}
+
+// Path is where it is mounted.
+const Path = "/v1/operator/"
+
+// Wish is the body of a rollback or a release.
+type Wish struct {
+	To     tables.Step     `json:"to,omitempty"`
+	Tables []logic.TableID `json:"tables,omitempty"` // empty: all
+	Since  tables.Step     `json:"since,omitempty"`
+	Who    string          `json:"who"`
+	Why    string          `json:"why"`
+	Force  bool            `json:"force,omitempty"`
+	Dry    bool            `json:"dry,omitempty"`
+}
+
+// LineChange is one line that differs between two versions.
+type LineChange struct {
+	Table string         `json:"table"`
+	Host  tables.Address `json:"host"`
+	From  float64        `json:"from"` // 0: not there
+	To    float64        `json:"to"`
+}
+
+// Difference is that between two versions.
+type Difference struct {
+	From   tables.Step      `json:"from"`
+	To     tables.Step      `json:"to"`
+	Lines  []LineChange     `json:"lines"`
+	Masked []tables.Address `json:"masked"`
+	Opened []tables.Address `json:"opened"`
+	Levels bool             `json:"levels"`
+}
+
+// Verified is what a look through all records found.
+type Verified struct {
+	Records int      `json:"records"`
+	Wrong   []string `json:"wrong"`
+}
+
+// Handler serves the endpoint, to this machine alone.
+func Handler(d Director, s Store) http.Handler {
+	mux := http.NewServeMux()
+	number := func(r *http.Request, name string, otherwise uint64) (uint64, error) {
+		text := r.URL.Query().Get(name)
+		if text == "" {
+			return otherwise, nil
+		}
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("%s: %.40q is no whole number", name, text)
+		}
+		return n, nil
+	}
+	mux.HandleFunc("GET "+Path+"versions", func(w http.ResponseWriter, r *http.Request) {
+		most, err := number(r, "most", 50)
+		if err != nil {
+			problem(w, http.StatusBadRequest, err)
+			return
+		}
+		answer(w)(s.Versions(int(min(most, 100000))))
+	})
+	mux.HandleFunc("GET "+Path+"versions/{step}", func(w http.ResponseWriter, r *http.Request) {
+		step, err := strconv.ParseUint(r.PathValue("step"), 10, 64)
+		if err != nil {
+			problem(w, http.StatusBadRequest, fmt.Errorf("version %.40q is no whole number", r.PathValue("step")))
+			return
+		}
+		answer(w)(s.At(tables.Step(step)))
+	})
+	mux.HandleFunc("GET "+Path+"diff", func(w http.ResponseWriter, r *http.Request) {
+		from, err1 := number(r, "from", 0)
+		to, err2 := number(r, "to", 0)
+		if err := errors.Join(err1, err2); err != nil {
+			problem(w, http.StatusBadRequest, err)
+			return
+		}
+		a, err := s.At(tables.Step(from))
+		if err == nil {
+			var b control.Saved
+			if b, err = s.At(tables.Step(to)); err == nil {
+				answer(w)(Diff(a, b), nil)
+				return
+			}
+		}
+		answer(w)(nil, err)
+	})
+	mux.HandleFunc("GET "+Path+"verify", func(w http.ResponseWriter, _ *http.Request) {
+		v := Verified{Wrong: []string{}}
+		var wrong []error
+		v.Records, wrong = s.Verify()
+		for _, err := range wrong {
+			v.Wrong = append(v.Wrong, err.Error())
+		}
+		answer(w)(v, nil)
+	})
+	mux.HandleFunc("GET "+Path+"pins", func(w http.ResponseWriter, r *http.Request) {
+		carry(w, r, d, func(t control.Ticket) any { return control.Pins{Ticket: t} })
+	})
+	mux.HandleFunc("POST "+Path+"rollback", func(w http.ResponseWriter, r *http.Request) {
+		q, ok := wish(w, r)
+		if !ok {
+			return
+		}
+		was, err := s.At(q.To)
+		if err != nil {
+			answer(w)(nil, err)
+			return
+		}
+		content := was.Tables
+		if len(q.Tables) > 0 {
+			content = map[logic.TableID]*tables.Table{}
+			for _, id := range q.Tables {
+				if content[id] = was.Tables[id]; content[id] == nil {
+					problem(w, http.StatusNotFound, fmt.Errorf("version %d has no table %d", q.To, id))
+					return
+				}
+			}
+		}
+		carry(w, r, d, func(t control.Ticket) any {
+			return control.Rollback{Ticket: t, To: q.To, Content: content, Since: q.Since, Who: q.Who, Why: q.Why, Force: q.Force, Dry: q.Dry}
+		})
+	})
+	mux.HandleFunc("POST "+Path+"release", func(w http.ResponseWriter, r *http.Request) {
+		if q, ok := wish(w, r); ok {
+			carry(w, r, d, func(t control.Ticket) any {
+				return control.Release{Ticket: t, Tables: q.Tables, Who: q.Who, Why: q.Why}
+			})
+		}
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if at, err := netip.ParseAddrPort(r.RemoteAddr); err != nil || !at.Addr().Unmap().IsLoopback() {
+			problem(w, http.StatusForbidden, errors.New("operators ask from the director's own machine"))
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func wish(w http.ResponseWriter, r *http.Request) (q Wish, ok bool) {
+	dec := json.NewDecoder(io.LimitReader(r.Body, 1<<20))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&q); err != nil {
+		problem(w, http.StatusBadRequest, fmt.Errorf("body: %w", err))
+		return q, false
+	}
+	return q, true
+}
+
+func carry(w http.ResponseWriter, r *http.Request, d Director, in func(control.Ticket) any) {
+	ctx, cancel := context.WithTimeout(r.Context(), 10*time.Second)
+	defer cancel()
+	a, err := d.Ask(ctx, in)
+	switch {
+	case err != nil:
+		problem(w, http.StatusServiceUnavailable, err)
+	case a.Kind == control.Done:
+		answer(w)(a.Operated, nil)
+	default:
+		status := map[control.AnswerKind]int{control.Wrong: http.StatusBadRequest, control.Conflict: http.StatusConflict,
+			control.Refused: http.StatusUnprocessableEntity}[a.Kind]
+		w.Header().Set("Content-Type", "application/problem+json")
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(struct {
+			Type, Title, Detail string
+			Status              int
+			Operated            *control.Operated `json:"operated,omitempty"`
+		}{"about:blank", http.StatusText(status), a.Why, status, a.Operated})
+	}
+}
+
+func answer(w http.ResponseWriter) func(v any, err error) {
+	return func(v any, err error) {
+		var corrupt *store.Corrupt
+		switch {
+		case errors.Is(err, store.ErrNoVersion):
+			problem(w, http.StatusNotFound, err)
+		case errors.As(err, &corrupt):
+			problem(w, http.StatusInternalServerError, err)
+		case err != nil:
+			problem(w, http.StatusInternalServerError, err)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(v)
+		}
+	}
+}
+
+func problem(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(map[string]any{"type": "about:blank", "title": http.StatusText(status), "status": status, "detail": err.Error()})
+}
+
+// Diff compares two versions, by table and host.
+func Diff(a, b control.Saved) *Difference {
+	d := &Difference{From: a.Step, To: b.Step, Lines: []LineChange{}, Masked: []tables.Address{}, Opened: []tables.Address{},
+		Levels: !slices.Equal(a.Levels, b.Levels)}
+	ids := map[logic.TableID]bool{}
+	for _, all := range []map[logic.TableID]*tables.Table{a.Tables, b.Tables} {
+		for id := range all {
+			ids[id] = true
+		}
+	}
+	lines := func(t *tables.Table) map[tables.Address]float64 {
+		if t == nil {
+			return nil
+		}
+		return t.Lines
+	}
+	for _, id := range slices.Sorted(maps.Keys(ids)) {
+		was, is := lines(a.Tables[id]), lines(b.Tables[id])
+		hosts := maps.Clone(was)
+		if hosts == nil {
+			hosts = map[tables.Address]float64{}
+		}
+		maps.Copy(hosts, is)
+		for _, h := range slices.Sorted(maps.Keys(hosts)) {
+			if was[h] != is[h] {
+				d.Lines = append(d.Lines, LineChange{strconv.Itoa(int(id)), h, was[h], is[h]})
+			}
+		}
+	}
+	for _, h := range slices.Sorted(maps.Keys(b.Masked)) {
+		if !a.Masked[h] {
+			d.Masked = append(d.Masked, h)
+		}
+	}
+	for _, h := range slices.Sorted(maps.Keys(a.Masked)) {
+		if !b.Masked[h] {
+			d.Opened = append(d.Opened, h)
+		}
+	}
+	return d
+}
+
+// Client asks a director's endpoint.
+type Client struct{ URL string }
+
+// Refusal is a director's no.
+type Refusal struct {
+	Status int
+	Detail string
+}
+
+func (e *Refusal) Error() string { return e.Detail }
+
+// Get reads what is at a path.
+func (c Client) Get(ctx context.Context, path string, to any) error {
+	return c.do(ctx, http.MethodGet, path, nil, to)
+}
+
+// Post sends a wish.
+func (c Client) Post(ctx context.Context, path string, w Wish, to any) error {
+	body, err := json.Marshal(w)
+	if err != nil {
+		return err
+	}
+	return c.do(ctx, http.MethodPost, path, body, to)
+}
+
+func (c Client) do(ctx context.Context, method, path string, body []byte, to any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+Path+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	client := http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		var p struct{ Detail string }
+		if json.Unmarshal(text, &p) != nil || p.Detail == "" {
+			p.Detail = fmt.Sprintf("%s: %.200s", res.Status, text)
+		}
+		return &Refusal{res.StatusCode, p.Detail}
+	}
+	return json.Unmarshal(text, to)
+}
--- /dev/null
+++ b/internal/pins/pins.go
@@ -0,0 +1,104 @@
+// Package pins decides what a table that an operator holds says from moment to moment: what it was pinned to, mended by
+// the smallest change where the rules stand above it. No I/O, no clock.
+package pins
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vetchwood/internal/tables"
+)
+
+// Host is what is known of one that is listed.
+type Host struct {
+	Up     bool // open: neither draining nor gone
+	Cold   bool // it may not be warm yet
+	Masked bool
+}
+
+// Fault is a line that could not be honoured.
+type Fault struct {
+	Host tables.Address `json:"host"`
+	Why  string         `json:"why"`
+}
+
+// Mended is a table as it may be told.
+type Mended struct {
+	Lines  map[tables.Address]float64
+	Faults []Fault
+}
+
+// coldPart is what a cold host gets of its weight: all of it would push it over, and nothing would leave its keys to
+// hosts that don't hold them.
+const coldPart = 0.25
+
+// Mend gives a pinned table's lines as the rules allow them. A host that drains or is gone goes out; a cold one is light;
+// where no warm host is left that is open, one is drawn from those that are listed, for each table its own.
+func Mend(id int, pinned map[tables.Address]float64, listed map[tables.Address]Host) (m Mended) {
+	m.Lines = map[tables.Address]float64{}
+	warm, heaviest := false, 0.0
+	for _, a := range slices.Sorted(maps.Keys(pinned)) {
+		h, known := listed[a]
+		w := pinned[a]
+		switch {
+		case !known:
+			m.Faults = append(m.Faults, Fault{a, "no longer listed"})
+			continue
+		case !h.Up:
+			m.Faults = append(m.Faults, Fault{a, "drains or is gone"})
+			continue
+		case h.Cold:
+			m.Faults = append(m.Faults, Fault{a, "has just started: a quarter of its weight"})
+			w *= coldPart
+		case h.Masked:
+			m.Faults = append(m.Faults, Fault{a, "masked"})
+		default:
+			warm = true
+		}
+		m.Lines[a] = w
+		heaviest = max(heaviest, pinned[a])
+	}
+	if warm {
+		return m
+	}
+	best, most := tables.Address(""), uint64(0)
+	for _, a := range slices.Sorted(maps.Keys(listed)) {
+		if h := listed[a]; h.Up && !h.Cold && !h.Masked {
+			if score := xxhash.Sum64String(strconv.Itoa(id) + " " + string(a)); best == "" || score > most {
+				best, most = a, score
+			}
+		}
+	}
+	if best != "" {
+		if heaviest == 0 {
+			heaviest = 1
+		}
+		m.Lines[best] = heaviest
+		m.Faults = append(m.Faults, Fault{best, "added: no warm host was left"})
+	}
+	return m
+}
+
+// Moved is the part of a table's calls that go to other hosts by a change.
+func Moved(from, to map[tables.Address]float64) float64 {
+	a, b := whole(from), whole(to)
+	if a == 0 || b == 0 {
+		return 0 // nothing went anywhere before, or nothing will
+	}
+	moved := 0.0
+	for host, w := range to {
+		moved += math.Max(0, w/b-from[host]/a)
+	}
+	return moved
+}
+
+func whole(lines map[tables.Address]float64) (sum float64) {
+	for _, w := range lines {
+		sum += w
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/pins/pins_test.go
@@ -0,0 +1,64 @@
+package pins
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"vetchwood/internal/tables"
+)
+
+// Whatever is pinned and whatever has become of the hosts: nothing goes to one that drains or is gone, a cold one gets at
+// most a quarter of its weight, a table is bare of warm hosts only if there is none, and a table that breaks no rule stays
+// as it was pinned.
+func TestRulesStandAbovePins(t *testing.T) {
+	hosts := rapid.SampledFrom([]tables.Address{"a:1", "b:1", "c:1", "d:1", "e:1"})
+	state := rapid.Custom(func(t *rapid.T) Host {
+		return Host{rapid.Bool().Draw(t, "up"), rapid.Bool().Draw(t, "cold"), rapid.Bool().Draw(t, "masked")}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		pinned := rapid.MapOfN(hosts, rapid.Float64Range(0.01, 5), 0, 4).Draw(t, "pinned")
+		listed := rapid.MapOfN(hosts, state, 0, 5).Draw(t, "listed")
+		m := Mend(rapid.IntRange(0, 50).Draw(t, "table"), pinned, listed)
+		open, could, broken := false, false, false
+		for _, h := range listed {
+			could = could || h.Up && !h.Cold && !h.Masked
+		}
+		for a, w := range m.Lines {
+			h := listed[a]
+			if !h.Up || !(w > 0) {
+				t.Fatalf("%s, %+v, gets %v", a, h, w)
+			}
+			if h.Cold && w > pinned[a]*coldPart {
+				t.Fatalf("%s is cold and gets %v of %v", a, w, pinned[a])
+			}
+			open = open || !h.Cold && !h.Masked
+		}
+		if open != could {
+			t.Fatalf("open %v, could be %v: %v", open, could, m)
+		}
+		for a := range pinned {
+			broken = broken || !listed[a].Up || listed[a].Cold || listed[a].Masked
+		}
+		if !broken && len(pinned) > 0 && (len(m.Faults) > 0 || Moved(pinned, m.Lines) > 0) {
+			t.Fatalf("mended without need: %v", m)
+		}
+	})
+}
+
+func TestMoved(t *testing.T) {
+	for _, c := range []struct {
+		from, to map[tables.Address]float64
+		want     float64
+	}{
+		{map[tables.Address]float64{"a": 1}, map[tables.Address]float64{"a": 5}, 0},
+		{map[tables.Address]float64{"a": 1}, map[tables.Address]float64{"b": 1}, 1},
+		{map[tables.Address]float64{"a": 1, "b": 1}, map[tables.Address]float64{"a": 1}, 0.5},
+		{nil, map[tables.Address]float64{"a": 1}, 0},
+	} {
+		if got := Moved(c.from, c.to); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%v to %v: %v, wanted %v", c.from, c.to, got, c.want)
+		}
+	}
+}
--- a/internal/settings/director.go
+++ b/internal/settings/director.go
@@ -10,6 +10,7 @@
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/longpoll"
+	"vetchwood/internal/store"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -22,6 +23,7 @@
 	Service       control.Service
 	Front         longpoll.Limits
 	Roster        Roster
+	History       store.Retention
 	ProbePath     string
 	ProbeTimeout  time.Duration
 }
@@ -226,6 +228,11 @@
 	out.Roster.Wait = in.Span("wait", 30*time.Second, 100*time.Millisecond, 10*time.Minute)
 	in.Done()
 
+	in = r.One("history", false)
+	out.History = store.Retention{Versions: in.Whole("versions", 10000, 1, 1e7),
+		AgeMs: float64(millis(in.Span("age", 24*time.Hour, time.Second, 10000*time.Hour)))}
+	in.Done()
+
 	in = r.One("poll", false)
 	longest := in.Span("longest_wait", 30*time.Second, time.Second, time.Hour)
 	out.Service.LongestWait = millis(longest)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,9 +3,9 @@
 package store
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -21,14 +21,17 @@
 	meta    = []byte("meta")
 	tableOf = []byte("tables")
 	bound   = []byte("bound")
-	buckets = [][]byte{meta, tableOf, bound}
+	buckets = [][]byte{meta, tableOf, bound, history, snapshots}
 )
 
 // Store is an open file.
-type Store struct{ db *bbolt.DB }
+type Store struct {
+	db   *bbolt.DB
+	keep Retention
+}
 
 // Open opens or makes the file.
-func Open(path string) (*Store, error) {
+func Open(path string, keep Retention) (*Store, error) {
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType})
 	if errors.Is(err, bbolt.ErrTimeout) {
 		return nil, fmt.Errorf("store %s: another process holds it", path)
@@ -36,7 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", path, err)
 	}
-	s := &Store{db}
+	s := &Store{db, keep}
 	err = db.Update(func(tx *bbolt.Tx) error {
 		for _, b := range buckets {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
@@ -58,7 +61,7 @@
 func (s *Store) Close() error { return s.db.Close() }
 
 func put(b *bbolt.Bucket, key string, v any) error {
-	text, err := json.Marshal(v)
+	text, err := seal(v)
 	if err != nil {
 		return err
 	}
@@ -67,53 +70,52 @@
 
 // Load reads all that is stored.
 func (s *Store) Load() (saved control.Saved, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) (err error) {
+		saved, err = load(tx)
+		return err
+	})
+	if err != nil {
+		return saved, fmt.Errorf("store %s: %w", s.db.Path(), err)
+	}
+	return saved, nil
+}
+
+func load(tx *bbolt.Tx) (saved control.Saved, err error) {
 	saved.Tables = map[logic.TableID]*tables.Table{}
 	saved.Bound = map[logic.ProxyID][]logic.TableID{}
-	err = s.db.View(func(tx *bbolt.Tx) error {
-		for key, to := range map[string]any{"line": &saved.Line, "step": &saved.Step, "at": &saved.At,
-			"masked": &saved.Masked, "levels": &saved.Levels, "carried": &saved.Carried, "proxies": &saved.Proxies,
-			"known": &saved.Known, "list": &saved.List} {
-			if text := tx.Bucket(meta).Get([]byte(key)); text != nil {
-				if err := json.Unmarshal(text, to); err != nil {
-					return fmt.Errorf("record meta/%s: %w", key, err)
-				}
+	for key, to := range map[string]any{"line": &saved.Line, "step": &saved.Step, "at": &saved.At,
+		"masked": &saved.Masked, "levels": &saved.Levels, "carried": &saved.Carried, "proxies": &saved.Proxies,
+		"known": &saved.Known, "list": &saved.List, "pinned": &saved.Pinned} {
+		if b := tx.Bucket(meta).Get([]byte(key)); b != nil {
+			if err := unseal("meta/"+key, b, to); err != nil {
+				return saved, offer(tx, err, math.MaxUint64)
 			}
 		}
-		err := tx.Bucket(tableOf).ForEach(func(k, text []byte) error {
-			n, err := strconv.Atoi(string(k))
-			t := &tables.Table{}
-			if err == nil {
-				err = json.Unmarshal(text, t)
-			}
-			if err != nil {
-				return fmt.Errorf("record tables/%s: %w", k, err)
-			}
-			if t.Lines == nil {
-				t.Lines = map[tables.Address]float64{}
-			}
-			saved.Tables[logic.TableID(n)] = t
-			return nil
-		})
-		if err != nil {
-			return err
+	}
+	err = tx.Bucket(tableOf).ForEach(func(k, b []byte) error {
+		t := &tables.Table{}
+		if err := unseal("tables/"+string(k), b, t); err != nil {
+			return offer(tx, err, math.MaxUint64)
 		}
-		return tx.Bucket(bound).ForEach(func(k, text []byte) error {
-			n, err := strconv.Atoi(string(k))
-			var by []logic.TableID
-			if err == nil {
-				err = json.Unmarshal(text, &by)
-			}
-			if err != nil {
-				return fmt.Errorf("record bound/%s: %w", k, err)
-			}
-			saved.Bound[logic.ProxyID(n)] = by
-			return nil
-		})
+		if t.Lines == nil {
+			t.Lines = map[tables.Address]float64{}
+		}
+		n, err := strconv.Atoi(string(k))
+		saved.Tables[logic.TableID(n)] = t
+		return err
 	})
 	if err != nil {
-		return saved, fmt.Errorf("store %s: %w", s.db.Path(), err)
+		return saved, err
 	}
-	return saved, nil
+	return saved, tx.Bucket(bound).ForEach(func(k, b []byte) error {
+		var by []logic.TableID
+		if err := unseal("bound/"+string(k), b, &by); err != nil {
+			return offer(tx, err, math.MaxUint64)
+		}
+		n, err := strconv.Atoi(string(k))
+		saved.Bound[logic.ProxyID(n)] = by
+		return err
+	})
 }
 
 // Write makes changes durable, all or none.
@@ -123,6 +125,11 @@
 			if err := write(tx, c); err != nil {
 				return err
 			}
+			if c.Step > 0 {
+				if err := record(tx, c, s.keep); err != nil {
+					return err
+				}
+			}
 		}
 		return nil
 	})
@@ -140,7 +147,8 @@
 		set bool
 	}{{"step", c.Step, c.Step > 0}, {"at", c.At, c.Step > 0}, {"masked", c.Masked, c.Masked != nil},
 		{"levels", c.Levels, c.Levels != nil}, {"carried", c.Carried, c.Carried != nil},
-		{"proxies", c.Proxies, c.Proxies != nil}, {"known", c.Known, c.Known != nil}, {"list", c.List, c.List != nil}} {
+		{"proxies", c.Proxies, c.Proxies != nil}, {"known", c.Known, c.Known != nil}, {"list", c.List, c.List != nil},
+		{"pinned", c.Pinned, c.Pinned != nil}} {
 		if part.set {
 			if err := put(m, part.key, part.v); err != nil {
 				return err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,12 +1,15 @@
 package store
 
 import (
+	"errors"
+	"fmt"
 	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
 
 	"go.etcd.io/bbolt"
+	"pgregory.net/rapid"
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/tables"
@@ -15,7 +18,7 @@
 
 func TestWhatIsWrittenIsReadAgain(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "d.db")
-	s, err := Open(path)
+	s, err := Open(path, Retention{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +39,7 @@
 		t.Fatal(err)
 	}
 	s.Close()
-	if s, err = Open(path); err != nil {
+	if s, err = Open(path, Retention{}); err != nil {
 		t.Fatal(err)
 	}
 	defer s.Close()
@@ -48,7 +51,7 @@
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%v\n%+v\n%+v", err, got, want)
 	}
-	if _, err := Open(path); err == nil || !strings.Contains(err.Error(), "another process") {
+	if _, err := Open(path, Retention{}); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Fatalf("a second opener got %v", err)
 	}
 }
@@ -56,7 +59,7 @@
 func TestARecordThatCantBeReadIsNamed(t *testing.T) {
 	for bucket, says := range map[string]string{"meta": "meta/levels", "tables": "tables/7", "bound": "bound/7"} {
 		path := filepath.Join(t.TempDir(), "d.db")
-		s, err := Open(path)
+		s, err := Open(path, Retention{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -68,3 +71,108 @@
 		s.Close()
 	}
 }
+
+// drawnHistory writes a history and keeps what each version held.
+func drawnHistory(t *rapid.T, s *Store, steps int) map[tables.Step]string {
+	held := map[tables.Step]string{}
+	state := control.Saved{Tables: map[logic.TableID]*tables.Table{}, Bound: map[logic.ProxyID][]logic.TableID{}}
+	weight := rapid.Float64Range(0.01, 9)
+	for step := tables.Step(1); step <= tables.Step(steps); step++ {
+		c := control.Change{Step: step, At: float64(step), Tables: map[logic.TableID]*tables.Table{}}
+		for range rapid.IntRange(0, 3).Draw(t, "changes") {
+			id := logic.TableID(rapid.IntRange(0, 5).Draw(t, "table"))
+			if c.Tables[id] = (&tables.Table{Lines: map[tables.Address]float64{"a:1": weight.Draw(t, "a"), "b:1": weight.Draw(t, "b")}}); rapid.IntRange(0, 9).Draw(t, "gone") == 0 {
+				c.Tables[id] = nil
+			}
+		}
+		if rapid.Bool().Draw(t, "masks") {
+			c.Masked = map[tables.Address]bool{"a:1": true}
+		}
+		if err := s.Write([]control.Change{c}); err != nil {
+			t.Fatal(err)
+		}
+		apply(&state, c)
+		held[step] = fmt.Sprintf("%+v %v", tablesOf(state), state.Masked)
+	}
+	return held
+}
+
+func tablesOf(s control.Saved) map[logic.TableID]tables.Table {
+	out := map[logic.TableID]tables.Table{}
+	for id, t := range s.Tables {
+		out[id] = *t
+	}
+	return out
+}
+
+// Every version that is kept is read as it was, over snapshots and a reopening; what is too old is gone as a whole.
+func TestEveryKeptVersionIsReadAsItWas(t *testing.T) {
+	dir := t.TempDir()
+	n := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n++
+		path := filepath.Join(dir, fmt.Sprint(n))
+		s, err := Open(path, Retention{Versions: 100})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.db.NoSync = true
+		steps := rapid.IntRange(1, 300).Draw(t, "steps")
+		held := drawnHistory(t, s, steps)
+		s.Close()
+		if s, err = Open(path, Retention{Versions: 100}); err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		kept := 0
+		for step, want := range held {
+			got, err := s.At(step)
+			if errors.Is(err, ErrNoVersion) && int(step) <= steps-100 {
+				continue
+			}
+			if kept++; err != nil || fmt.Sprintf("%+v %v", tablesOf(got), got.Masked) != want {
+				t.Fatalf("version %d of %d: %v\n%+v\n%s", step, steps, err, tablesOf(got), want)
+			}
+		}
+		if _, wrong := s.Verify(); len(wrong) > 0 || kept > 100+2*every {
+			t.Fatalf("%v; %d kept", wrong, kept)
+		}
+		if _, err := s.At(tables.Step(steps + 1)); !errors.Is(err, ErrNoVersion) {
+			t.Fatalf("a version to come: %v", err)
+		}
+	})
+}
+
+// A record that was changed is named, the versions that need it are refused, and a whole snapshot before it is offered.
+func TestACorruptVersionIsRefused(t *testing.T) {
+	s, err := Open(filepath.Join(t.TempDir(), "d"), Retention{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.db.NoSync = true
+	for step := tables.Step(1); step <= 150; step++ {
+		table := &tables.Table{Lines: map[tables.Address]float64{"a:1": float64(step)}}
+		if err := s.Write([]control.Change{{Step: step, At: float64(step), Tables: map[logic.TableID]*tables.Table{0: table}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.db.Update(func(tx *bbolt.Tx) error {
+		b := append([]byte(nil), tx.Bucket(history).Get(stepKey(100))...)
+		b[len(b)/2] ^= 1
+		return tx.Bucket(history).Put(stepKey(100), b)
+	})
+	for step, ok := range map[tables.Step]bool{99: true, 100: false, 120: false, 129: true, 150: true} {
+		got, err := s.At(step)
+		var corrupt *Corrupt
+		if ok && (err != nil || got.Tables[0].Lines["a:1"] != float64(step)) || !ok && (!errors.As(err, &corrupt) || corrupt.Record != "history/100" || corrupt.Whole != 65) {
+			t.Errorf("version %d: %v, %v", step, got.Tables[0], err)
+		}
+	}
+	if n, wrong := s.Verify(); n < 150 || len(wrong) != 1 || !strings.Contains(wrong[0].Error(), "history/100") {
+		t.Errorf("%d records, wrong: %v", n, wrong)
+	}
+	if all, err := s.Versions(60); err != nil || len(all) != 60 || all[50].Step != 100 || !strings.Contains(all[50].Why, "history/100") {
+		t.Errorf("%v", err)
+	}
+}
