Differences composed of what steps changed, not of whole documents compared

Change: each kept document knows the step before it and what it changed; a patch over missed steps is composed by path (what was there before the first, what is after the last, nothing where both are the same); steps that write whole tables fall back to a comparison. Table names may not be empty: found by property, as a JSON Patch library can't name such a path.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -33,7 +33,8 @@
 	routes   map[string]logic.RouteID
 	listed   map[tables.Address]bool
 	swept    logic.Millis
-	list0    []Listed // the list as it was told last
+	last     *tables.Document // the newest that was kept
+	list0    []Listed         // the list as it was told last
 	pinned   map[logic.TableID]Pin
 	operated tables.Step // the newest version by an operator
 	cause    cause
@@ -334,6 +335,10 @@
 		return
 	}
 	c.kept[tag] = d
+	if c.svc.Facts.Slices > 0 && (c.last == nil || d.Step > c.last.Step) {
+		d.After(c.last) // all proxies are told the same documents, one after the other
+		c.last = d
+	}
 	if c.oldest = append(c.oldest, tag); len(c.oldest) > c.svc.Kept {
 		c.kept[c.oldest[0]].Forget()
 		delete(c.kept, c.oldest[0])
--- a/internal/tables/document.go
+++ b/internal/tables/document.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -84,6 +85,8 @@
 	whole  []byte
 	digest uint64
 	deltas map[*Document][]byte
+	before *Document // the step before, where that is known
+	ops    []Op      // what this one changed of it
 }
 
 // KeyHash is the hash that places keys; the first 32 bits of it choose the slice.
@@ -157,13 +160,35 @@
 	return Tag{d.Line, d.Step, d.digest}
 }
 
-// Delta is the patch that makes d of base, encoded once for all that hold the base. It is nil where the whole
-// document is no longer than it.
+// After says which document this one follows.
+func (d *Document) After(before *Document) { d.before = before }
+
+// Changes is the patch that makes d of base: composed of what the steps between them changed where those are known, and
+// by comparing the two where not.
+func (d *Document) Changes(base *Document) []Op {
+	var steps [][]Op
+	at := d
+	for ; at != base && at != nil && at.before != nil; at = at.before {
+		if at.ops == nil {
+			at.ops = Diff(at.before, at)
+		}
+		steps = append(steps, at.ops)
+	}
+	if at == base && len(steps) > 0 {
+		slices.Reverse(steps)
+		if ops, composes := Compose(steps); composes {
+			return ops
+		}
+	}
+	return Diff(base, d)
+}
+
+// Delta is that patch, encoded once for all that hold the base. It is nil where the whole document is no longer than it.
 func (d *Document) Delta(base *Document) []byte {
 	if b, known := d.deltas[base]; known {
 		return b
 	}
-	b, err := json.Marshal(Diff(base, d))
+	b, err := json.Marshal(d.Changes(base))
 	if err != nil {
 		panic(err)
 	}
@@ -177,8 +202,8 @@
 	return b
 }
 
-// Forget lets go of the differences, and so of the documents that they start from.
-func (d *Document) Forget() { d.deltas = nil }
+// Forget lets go of the differences, and so of the documents that they start from, and of those before.
+func (d *Document) Forget() { d.deltas, d.before, d.ops = nil, nil, nil }
 
 // Parse reads a whole document and refuses one that a proxy can't follow.
 func Parse(text []byte) (*Document, error) {
@@ -202,7 +227,7 @@
 
 func (d *Document) check() error {
 	for name, t := range d.Tables {
-		if t == nil {
+		if t == nil || name == "" {
 			return fmt.Errorf("table %q: empty", name)
 		}
 		for a, w := range t.Lines {
