--- a/internal/judge/book.go
+++ b/internal/judge/book.go
@@ -144,3 +144,23 @@
 	}
 	return b.Tolds[len(b.Tolds)-1], true
 }
+
+// Reached says when the last proxy held a version, in milliseconds after a time, and how many answers the slowest took
+// from then on.
+func (b *Book) Reached(step tables.Step, from float64) (ms float64, answers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	took := map[string]int{}
+	there := map[string]bool{}
+	for _, h := range b.Helds {
+		if h.Doc == nil || h.At < from || there[h.Proxy] {
+			continue
+		}
+		took[h.Proxy]++
+		if h.Doc.Step >= step {
+			there[h.Proxy] = true
+			ms, answers = max(ms, h.At-from), max(answers, took[h.Proxy])
+		}
+	}
+	return ms, answers
+}
--- a/internal/rehearse/days/director.hcl
+++ b/internal/rehearse/days/director.hcl
@@ -46,7 +46,7 @@
 }
 
 proxies {
-  most            = 24
+  most            = {{.Proxies}}
   names           = "relay-[0-9]+"
   lease           = "3s"
   bare_limit      = "2.3s"
@@ -55,8 +55,8 @@
 }
 
 channel {
-  lines_per_second = 8000
-  queue_lines      = 8000
+  lines_per_second = {{.Lines}}
+  queue_lines      = {{.Lines}}
   head_lines       = 16
   transit          = "20ms"
   worst_transit    = "250ms"
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"os"
 	"os/exec"
 	"sync"
@@ -66,9 +67,10 @@
 
 // extras are what the director itself counted, beside what was seen from outside.
 type extras struct {
-	MostWaiting  float64 `json:"director_most_lines_waiting"`
-	MostMessages float64 `json:"director_most_messages"`
-	Folder       string  `json:"folder,omitempty"`
+	MostWaiting  float64  `json:"director_most_lines_waiting"`
+	MostMessages float64  `json:"director_most_messages"`
+	Folder       string   `json:"folder,omitempty"`
+	Rollbacks    []Undone `json:"rollbacks,omitempty"`
 }
 
 func play(ctx context.Context, script *Script, q Request) (v judge.Verdict, extra extras, err error) {
@@ -106,7 +108,7 @@
 			"  curl -si http://%s/v1/proxies/relay-20/tables\n\nIt stays up until a signal.\n",
 			s.running.Listen, s.running.Admin, s.running.Listen)
 	}
-	s.began = time.Now()
+	s.began, s.start = time.Now(), s.version()
 	from := s.now()
 	day, end := ctx, context.CancelFunc(func() {})
 	if script.Length > 0 {
@@ -141,13 +143,22 @@
 		return v, extra, err
 	default:
 	}
-	extra.MostWaiting, extra.MostMessages = s.most, s.dense
+	extra.MostWaiting, extra.MostMessages, extra.Rollbacks = s.most, s.dense, s.rollbacks
 	if v = s.book.Judge(s.terms(from, until)); !v.Kept() || q.Keep != "" {
 		extra.Folder = dir
 	}
 	return v, extra, nil
 }
 
+// version is the newest that every proxy holds.
+func (s *stage) version() tables.Step {
+	least := tables.Step(math.MaxUint64)
+	for _, p := range s.proxies {
+		least = min(least, p.Held().Step)
+	}
+	return least
+}
+
 // settle lets the calls in hand end.
 func (s *stage) settle() {
 	done := make(chan struct{})
@@ -244,6 +255,10 @@
 	fmt.Fprintf(w, "answers\t%.0f ms\tmedian; 99 in 100 within %.0f ms\n", v.MedianMs, v.P99Ms)
 	fmt.Fprintf(w, "versions seen\t%d\t%d deltas, %d whole documents; %d lists told\n", v.Steps, v.Deltas, v.Whole, v.Lists)
 	fmt.Fprintf(w, "lines waiting\t%.0f\tat most, by the director's own count; %.0f messages to one proxy\n", extra.MostWaiting, extra.MostMessages)
+	for _, u := range extra.Rollbacks {
+		fmt.Fprintf(w, "back to version %d\t%d ms\tuntil the last of %d proxies held it; %d polls at most, %d lines not honoured\n", u.To,
+			int(u.SlowestMs), u.Proxies, u.MostPolls, u.Mended)
+	}
 	fmt.Fprintf(w, "hosts fallen\t%d\t\n", v.Falls)
 	if extra.Folder != "" {
 		fmt.Fprintf(w, "kept in\t%s\t\n", extra.Folder)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -193,7 +193,7 @@
 	if _, err := Find("no-such-day"); err == nil {
 		t.Error("no error")
 	}
-	for _, name := range []string{"bad-day", "demo", "short-day"} {
+	for _, name := range []string{"bad-day", "demo", "short-day", "rollback"} {
 		if _, err := Find(name); err != nil {
 			t.Error(err)
 		}
--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -71,6 +71,8 @@
 	"kill_director":   {"last"},
 	"restart_proxies": {"proxies", "last"},
 	"stale_proxies":   {"proxies", "last"},
+	"rollback":        {},
+	"release":         {},
 }
 
 // Find reads a day that comes with the program, or a file.
--- a/internal/rehearse/stage.go
+++ b/internal/rehearse/stage.go
@@ -21,8 +21,10 @@
 
 	"github.com/hashicorp/consul/api"
 
+	"vetchwood/internal/control"
 	"vetchwood/internal/follow"
 	"vetchwood/internal/judge"
+	"vetchwood/internal/operate"
 	"vetchwood/internal/relay"
 	"vetchwood/internal/settings"
 	"vetchwood/internal/standin"
@@ -43,19 +45,21 @@
 	epoch    time.Time // of the clock
 	began    time.Time // the day, once the fleet is raised
 
-	mu       sync.Mutex
-	hosts    []*member
-	spare    int // hosts born so far, for new ids
-	proxies  []*proxy
-	director *exec.Cmd
-	ended    chan struct{} // closed at the end of the director at hand
-	failed   error         // and how it ended
-	memories map[string]*standin.Memory
-	busy     sync.WaitGroup
-	random   *rand.Rand
-	routes   map[string]tables.Route
-	most     float64 // watermark of the channel, over all lives of the director
-	dense    float64
+	mu        sync.Mutex
+	hosts     []*member
+	spare     int // hosts born so far, for new ids
+	proxies   []*proxy
+	director  *exec.Cmd
+	ended     chan struct{} // closed at the end of the director at hand
+	failed    error         // and how it ended
+	memories  map[string]*standin.Memory
+	busy      sync.WaitGroup
+	random    *rand.Rand
+	routes    map[string]tables.Route
+	start     tables.Step // the version at the day's start
+	rollbacks []Undone
+	most      float64 // watermark of the channel, over all lives of the director
+	dense     float64
 }
 
 type member struct {
@@ -112,7 +116,8 @@
 		return s, err
 	}
 	fill := map[string]string{"Store": filepath.Join(dir, "director.db"), "Roster": s.registry.URL(),
-		"Listen": script.Listen, "Admin": script.Admin}
+		"Listen": script.Listen, "Admin": script.Admin, "Proxies": strconv.Itoa(max(24, script.Fleet.Proxies)),
+		"Lines": strconv.Itoa(8000 * max(1, script.Fleet.Proxies/12))}
 	for _, at := range []string{"Listen", "Admin"} {
 		if _, port, _ := net.SplitHostPort(fill[at]); port == "0" {
 			if fill[at], err = freePort(); err != nil {
@@ -565,6 +570,13 @@
 				return err
 			}
 		}
+	case "rollback":
+		return s.rollback(ctx, say)
+	case "release":
+		var o control.Operated
+		err := s.operators().Post(ctx, "release", operate.Wish{Who: "rehearsal", Why: "the day's script"}, &o)
+		say(fmt.Sprintf("an operator releases %d tables", len(o.Tables)))
+		return err
 	case "stale_proxies":
 		say(fmt.Sprintf("%d proxies lose their director", t.Proxies))
 		s.mu.Lock()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return strings.NewReplacer("{{.Listen}}", "127.0.0.1:8480", "{{.Admin}}", "127.0.0.1:8481", "{{.Store}}", "d.db",
+	return strings.NewReplacer("{{.Listen}}", "127.0.0.1:8480", "{{.Admin}}", "127.0.0.1:8481", "{{.Store}}", "d.db", "{{.Proxies}}", "24", "{{.Lines}}", "8000",
 		"{{.Roster}}", "http://127.0.0.1:8500").Replace(string(text))
 }
 
