--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -263,6 +263,7 @@
 
 // commit makes a draft the newest version: on its way to the store, and with its messages from there to the channel.
 func (c *Core) commit(now logic.Millis, d *draft) {
+	d.check(now)
 	c.world = d.is
 	s := &step{world: d.is}
 	for _, id := range c.ids {
--- a/internal/control/types.go
+++ b/internal/control/types.go
@@ -181,6 +181,7 @@
 	MostMessages                       int
 	Polls, Deltas, Wholes, Unchangeds  uint64
 	Reports, Repeats, Refused, Expired uint64
+	Faults                             uint64 // found by checks before publishing
 	ReportLinesWaiting                 int
 	Hosts, Masked                      int
 }
--- a/internal/control/world.go
+++ b/internal/control/world.go
@@ -1,11 +1,14 @@
 package control
 
 import (
+	"fmt"
 	"maps"
+	"math"
 	"math/bits"
 	"strconv"
 	"strings"
 
+	"vetchwood/internal/checks"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -114,7 +117,14 @@
 	f := d.c.svc.Facts
 	switch o := o.(type) {
 	case logic.SetLine:
-		t, a := d.table(o.Table), d.c.names.address[o.Host]
+		a := d.c.names.address[o.Host]
+		if a == "" || math.IsNaN(o.Weight) || o.Weight > 1e9 {
+			// No version may bear it. The module has no such host or weight; a line of a store that was changed might.
+			d.c.figures.Faults++
+			d.c.say(Event{Name: "check.line_dropped", Detail: fmt.Sprintf("table %d, host %d, weight %v", o.Table, o.Host, o.Weight)})
+			return
+		}
+		t := d.table(o.Table)
 		if o.Weight <= 0 {
 			delete(t.Lines, a)
 		} else {
@@ -252,3 +262,30 @@
 	w.docs[key] = d.Seal(c.line, w.step, w.at)
 	return d
 }
+
+// check looks at a step before it is published. What the module orders goes out all the same, and the fault is told: to hold
+// a removal back because it leaves a table bare for a moment would break another rule.
+func (d *draft) check(now logic.Millis) {
+	s := checks.Step{Was: map[string]*tables.Table{}, Is: map[string]*tables.Table{}, MaskedWas: d.was.masked, Masked: d.is.masked,
+		Known: func(a tables.Address) bool { _, known := d.c.names.hosts[a]; return known }, Listed: map[tables.Address]checks.Host{}}
+	look := d.change.Tables
+	if d.change.Masked != nil {
+		look = d.is.tables
+	}
+	if len(look) == 0 {
+		return
+	}
+	for id := range look {
+		name := strconv.Itoa(int(id))
+		if d.is.tables[id] != nil {
+			s.Was[name], s.Is[name] = d.was.tables[id], d.is.tables[id]
+		}
+	}
+	for a, h := range d.c.hosts(now) {
+		s.Listed[a] = checks.Host{Up: h.Up, Cold: h.Cold}
+	}
+	for _, f := range checks.Look(s) {
+		d.c.figures.Faults++
+		d.c.say(Event{Name: "check.failed", Host: string(f.Host), Version: strconv.Itoa(int(d.is.step)), Detail: f.String()})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,6 +126,7 @@
 	counter("reports", "Reports counted.", func(f control.Figures) uint64 { return f.Reports })
 	counter("reports_repeated", "Reports that came again and were not counted.", func(f control.Figures) uint64 { return f.Repeats })
 	counter("refused", "Polls and reports refused by the director.", func(f control.Figures) uint64 { return f.Refused })
+	counter("check_faults", "What checks before publishing found.", func(f control.Figures) uint64 { return f.Faults })
 	counter("leases_expired", "Proxies that left without a word.", func(f control.Figures) uint64 { return f.Expired })
 	counter("requests_malformed", "Requests refused for their form.", func(control.Figures) uint64 { return front.Failed() })
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vetchwood_connections", Help: "Open connections."},
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -18,6 +20,7 @@
 
 	"vetchwood/internal/daemon"
 	"vetchwood/internal/judge"
+	"vetchwood/internal/operate"
 	"vetchwood/internal/settings"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
@@ -26,6 +29,10 @@
 // The test binary is the director too, so that one can be killed like any process.
 func TestMain(m *testing.M) {
 	if file := os.Getenv("VETCHWOOD_TEST_DIRECTOR"); file != "" {
+		if n, err := strconv.ParseUint(os.Getenv("VETCHWOOD_TEST_DISK"), 10, 64); err == nil {
+			signal.Ignore(syscall.SIGXFSZ) // no file grows past this: as on a disk that is full
+			syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: n, Max: n})
+		}
 		s, err := settings.Load(file)
 		if err == nil {
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
@@ -111,46 +118,108 @@
 	}
 }
 
-// Killed while versions are on their way, at ten different moments: whatever a proxy was told is stored, the
-// start over goes on from there, and every proxy ends on what the director holds.
+// Killed while versions are on their way, at ten different moments (or as many as VETCHWOOD_KILLS says, drawn): whatever
+// a proxy was told is stored, the start over goes on from there, and every proxy ends on what the director holds.
 func TestKilledAtTenMoments(t *testing.T) {
 	t.Parallel()
 	s := small(t, 6, 3)
-	for round := range 10 {
+	kills, drawn := 10, rand.New(rand.NewPCG(5, 6))
+	if n, err := strconv.Atoi(os.Getenv("VETCHWOOD_KILLS")); err == nil {
+		kills = n
+	}
+	for round := range kills {
 		// Each change of the list leads to versions; the kill comes at another point of their way.
 		h := s.hosts[round%6]
 		s.registry.State(h.id, logic.Draining)
-		time.Sleep(time.Duration(20+35*round) * time.Millisecond)
-		s.stopDirector(syscall.SIGKILL)
-		told := s.highest()
-		s.registry.State(h.id, logic.Up)
-		if err := s.startDirector(); err != nil {
-			t.Fatal(err)
+		moment := time.Duration(20+35*round) * time.Millisecond
+		if kills != 10 {
+			moment = time.Duration(drawn.Float64() * 400 * float64(time.Millisecond))
 		}
-		eventually(t, "the director serves again", func() bool { return s.stored() > 0 })
-		if stored := s.stored(); stored <= told {
-			t.Fatalf("round %d: version %d was told, the start over has %d", round, told, stored)
-		}
-		eventually(t, "all proxies are on one version", func() bool {
-			step := s.stored()
-			for _, r := range s.proxies {
-				if r.Held().Step != step {
-					return false
-				}
-			}
-			return true
-		})
+		time.Sleep(moment)
+		s.killAndStartOver(t, func() { s.registry.State(h.id, logic.Up) })
 	}
-	s.book.Happened(judge.Note{})
 	v := s.book.Judge(s.terms(0, s.now()))
 	if v.Backwards > 0 {
 		t.Fatalf("%d times a proxy was sent backwards", v.Backwards)
 	}
-	if v.Deltas < 10 {
+	if v.Deltas < kills {
 		t.Fatalf("only %d differences: what was held was not known again", v.Deltas)
 	}
 }
 
+func (s *stage) killAndStartOver(t *testing.T, meanwhile func()) {
+	t.Helper()
+	s.stopDirector(syscall.SIGKILL)
+	told := s.highest()
+	meanwhile()
+	if err := s.startDirector(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the director serves again", func() bool { return s.stored() > 0 })
+	if stored := s.stored(); stored <= told {
+		t.Fatalf("version %d was told, the start over has %d", told, stored)
+	}
+	eventually(t, "all proxies are on one version", func() bool {
+		step := s.stored()
+		for _, r := range s.proxies {
+			if r.Held().Step != step {
+				return false
+			}
+		}
+		return true
+	})
+	var v operate.Verified
+	if err := s.operators().Get(t.Context(), "verify", &v); err != nil || len(v.Wrong) > 0 {
+		t.Fatalf("%v, %v", err, v.Wrong)
+	}
+}
+
+// The disk is full in mid-day: nothing is told that is not stored, proxies go on by what they hold, and with room again
+// the director goes on where it was.
+func TestAFullDisk(t *testing.T) {
+	t.Parallel()
+	script, err := Find("short-day")
+	if err != nil {
+		t.Fatal(err)
+	}
+	script.Fleet.Hosts, script.Fleet.Proxies, script.Fleet.ListDelay = 6, 3, 0
+	narrow := func(file string) *exec.Cmd {
+		c := self(file)
+		c.Env = append(c.Env, "VETCHWOOD_TEST_DISK=196608")
+		return c
+	}
+	s, err := raise(t.Context(), script, t.TempDir(), narrow, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.lower()
+	failing := func() bool {
+		text, _ := os.ReadFile(s.logFile())
+		return bytes.Contains(text, []byte("store.failed"))
+	}
+	for round := 0; !failing(); round++ {
+		if round > 200 {
+			t.Fatal("the disk never fills up")
+		}
+		s.registry.State(s.hosts[round%6].id, []logic.HostState{logic.Draining, logic.Up}[round/6%2])
+		time.Sleep(60 * time.Millisecond)
+	}
+	for _, h := range s.hosts[:5] {
+		s.registry.State(h.id, logic.Up)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if told, stored := s.highest(), s.stored(); told > stored {
+		t.Fatalf("version %d is told, %d is stored", told, stored)
+	}
+	for _, p := range s.proxies {
+		if d := p.Held(); d == nil || !full(d) {
+			t.Fatal("a proxy has lost its tables")
+		}
+	}
+	s.command = self
+	s.killAndStartOver(t, func() {})
+}
+
 // A stop by signal ends within a moment, and the next start finds all.
 func TestStoppedBySignal(t *testing.T) {
 	t.Parallel()
