--- a/cmd/vetchwood/tables.go
+++ b/cmd/vetchwood/tables.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -27,6 +28,7 @@
 	Show     tablesShow     `cmd:"" help:"Show the tables of a version."`
 	Diff     tablesDiff     `cmd:"" help:"Show what differs between two versions."`
 	Rollback tablesRollback `cmd:"" help:"Go back to a version: its tables are pinned until they are released."`
+	Pin      tablesPin      `cmd:"" help:"Pin tables as they are now, until they are released."`
 	Pins     tablesPins     `cmd:"" help:"Show which tables are pinned, and which lines could not be honoured."`
 	Release  tablesRelease  `cmd:"" help:"Give pinned tables back to the director."`
 	Verify   tablesVerify   `cmd:"" help:"Read every record of the history."`
@@ -166,6 +168,23 @@
 	})
 }
 
+type tablesPin struct {
+	Table []logic.TableID `help:"Only these tables."`
+	Why   string          `help:"Why, for the history." required:""`
+}
+
+func (c *tablesPin) Run(ctx context.Context, out io.Writer, p *program) error {
+	var newest []store.Version
+	if err := p.Tables.client().Get(ctx, "versions?most=1", &newest); err != nil {
+		return err
+	}
+	if len(newest) == 0 {
+		return errors.New("there is no version yet")
+	}
+	back := tablesRollback{Version: newest[0].Step, Table: c.Table, Why: c.Why, Since: newest[0].Step, Yes: true}
+	return back.Run(ctx, out, p)
+}
+
 func faults(w io.Writer, o control.Operated) {
 	for _, t := range o.Tables {
 		for _, f := range t.Faults {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -264,6 +264,12 @@
 // commit makes a draft the newest version: on its way to the store, and with its messages from there to the channel.
 func (c *Core) commit(now logic.Millis, d *draft) {
 	d.check(now)
+	d.change.Least = d.is.step
+	for _, id := range c.ids {
+		if st := c.streams[id]; st.base != nil && st.base.Line == c.line {
+			d.change.Least = min(d.change.Least, st.base.Step)
+		}
+	}
 	c.world = d.is
 	s := &step{world: d.is}
 	for _, id := range c.ids {
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -554,3 +554,48 @@
 		t.Errorf("without slices: %+v", a)
 	}
 }
+
+// A rollback while a publish is half out: what was ordered before it goes out before it, no proxy sees the old content
+// after the new one, and all end on the rollback.
+func TestARollbackAmidAPublish(t *testing.T) {
+	r, d := settled(t, 4)
+	old := r.version()
+	waits := r.poll("p1", 20000, d.Tag())
+	r.hold = true // ordered, and not yet stored
+	list := up(4)
+	list[0].State = logic.Draining
+	r.do(List{list})
+	r.pass(600)
+	half := r.c.world.step
+	list[0].State = logic.Up
+	r.do(List{list})
+	if a := r.roll(old, "ann", half, true); a.Kind != Done || a.Operated.Version <= half {
+		t.Fatalf("%+v", a)
+	}
+	final := r.c.world.step
+	r.hold = false
+	seen, tag := d.Step, d.Tag()
+	for range 20 {
+		r.pass(100)
+		a, there := r.answers[waits]
+		if !there {
+			continue
+		}
+		if a.Doc.Step < seen {
+			t.Fatalf("version %d after %d", a.Doc.Step, seen)
+		}
+		seen, tag = a.Doc.Step, a.Doc.Tag()
+		waits = r.poll("p1", 20000, tag)
+	}
+	if seen < final {
+		t.Fatalf("ended on %d, the rollback is %d", seen, final)
+	}
+	got := r.c.kept[tag]
+	for name, table := range d.Tables {
+		for h, w := range table.Lines {
+			if got.Tables[name].Lines[h] != w {
+				t.Fatalf("table %s: %v, wanted %v", name, got.Tables[name].Lines, table.Lines)
+			}
+		}
+	}
+}
--- a/internal/control/types.go
+++ b/internal/control/types.go
@@ -130,6 +130,7 @@
 type Change struct {
 	Who, Why string                `json:",omitempty"`
 	From     tables.Step           `json:",omitempty"` // the version that it goes back to
+	Least    tables.Step           `json:"-"`          // the oldest version that a joined proxy stands on; it is kept
 	Pinned   map[logic.TableID]Pin // all of them, where one changed
 	Line     tables.Line
 	Step     tables.Step
