--- a/logic/logic.go
+++ b/logic/logic.go
@@ -725,6 +725,9 @@
 		}
 		g.level = max(levelLow, min(want, g.level+levelEase))
 	}
+	if g.told.level == nil && (able == 0 || usual == 0) {
+		return // proxies may hold an earlier start's levels, which know more than we do yet
+	}
 	now := levelled{make([]float64, len(g.usual)), make([]int, len(g.usual))}
 	for i, r := range g.rules.cheap {
 		part := max(levelLow, min(1, g.level-(top-1-float64(i))))
