--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,6 +58,7 @@
 	conn   netpoll.Connection
 	mu     sync.Mutex
 	in     []byte
+	read   request        // reused from one to the next
 	ticket control.Ticket // of the request that is being answered; 0: none
 	poll   bool
 	any    bool // If-None-Match: *
@@ -161,12 +163,13 @@
 // turn starts on the next request, if none is being answered.
 func (s *Server) turn(p *peer) {
 	for p.ticket == 0 && len(p.in) > 0 && !p.gone {
-		r, wrong := next(p.in, s.limits.MostHead, s.limits.MostBody)
+		r := &p.read
+		whole, wrong := r.next(p.in, s.limits.MostHead, s.limits.MostBody)
 		if wrong != nil {
 			s.refuse(p, wrong)
 			return
 		}
-		if r == nil {
+		if !whole {
 			return
 		}
 		p.closes = r.Close
@@ -174,6 +177,7 @@
 		if p.in = append([]byte(nil), p.in[r.length:]...); len(p.in) == 0 {
 			p.in = nil
 		}
+		p.read = request{} // it lies in the old buffer, which a poll that waits need not keep
 		p.since = time.Now()
 		if wrong != nil {
 			wrong.close = wrong.close || p.closes
@@ -207,7 +211,15 @@
 
 // ask hands a request to the core.
 func (s *Server) ask(p *peer, r *request) *problem {
-	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	path, query, _ := strings.Cut(string(r.Target), "?")
+	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
+	for i, part := range parts {
+		plain, err := url.PathUnescape(part)
+		if err != nil {
+			return bad(http.StatusBadRequest, "the path %.60q can't be read", path)
+		}
+		parts[i] = plain
+	}
 	if len(parts) != 4 || parts[0] != "v1" || parts[1] != "proxies" || parts[2] == "" ||
 		parts[3] != "tables" && parts[3] != "reports" {
 		return bad(http.StatusNotFound, "there is /v1/proxies/{proxy}/tables and /v1/proxies/{proxy}/reports")
@@ -216,7 +228,7 @@
 	if len(proxy) > 128 {
 		return bad(http.StatusNotFound, "a proxy's name has at most 128 bytes")
 	}
-	if allow := map[bool]string{true: http.MethodGet, false: http.MethodPost}[tablesWanted]; r.Method != allow {
+	if allow := map[bool]string{true: http.MethodGet, false: http.MethodPost}[tablesWanted]; string(r.Method) != allow {
 		wrong := bad(http.StatusMethodNotAllowed, "%s alone is taken here", allow)
 		wrong.allow = allow
 		return wrong
@@ -224,16 +236,19 @@
 	var in any
 	ticket := s.core.Ticket()
 	if tablesWanted {
-		q := control.Poll{Ticket: ticket, Proxy: proxy, WantsDelta: takes(r.Header.Values("A-IM"))}
+		q := control.Poll{Ticket: ticket, Proxy: proxy, WantsDelta: takes(r.values("a-im"))}
 		var wrong *problem
-		if q.Held, p.any, wrong = entityTags(r.Header.Values("If-None-Match")); wrong != nil {
+		if q.Held, p.any, wrong = entityTags(r.values("if-none-match")); wrong != nil {
 			return wrong
 		}
-		q.Wait, p.prefer = preferredWait(r.Header.Values("Prefer"))
+		q.Wait, p.prefer = preferredWait(r.values("prefer"))
 		q.Wait = min(q.Wait, s.limits.LongestWait)
-		query := r.URL.Query()
-		q.Zone = query.Get("zone")
-		if text := query.Get("rate"); text != "" {
+		hints, err := url.ParseQuery(query)
+		if err != nil {
+			return bad(http.StatusBadRequest, "the query can't be read: %v", err)
+		}
+		q.Zone = hints.Get("zone")
+		if text := hints.Get("rate"); text != "" {
 			rate, err := strconv.ParseFloat(text, 64)
 			if err != nil || math.IsNaN(rate) || rate < 0 || rate > 1e9 {
 				return bad(http.StatusBadRequest, "rate: %.40q is no number of calls a second", text)
@@ -242,7 +257,7 @@
 		}
 		p.waits, in = q.Wait, q
 	} else {
-		if !isJSON(r.Request) {
+		if !isJSON(r) {
 			return bad(http.StatusUnsupportedMediaType, "a report is JSON")
 		}
 		q, err := lrs.Read(r.body)
@@ -252,7 +267,7 @@
 		if q.Proxy != "" && q.Proxy != proxy {
 			return bad(http.StatusBadRequest, "load stats: node.id: %.60q is not the proxy of the path", q.Proxy)
 		}
-		q.Ticket, q.Proxy, q.Key = ticket, proxy, r.Header.Get("Idempotency-Key")
+		q.Ticket, q.Proxy, q.Key = ticket, proxy, string(r.Get("idempotency-key"))
 		in = q
 	}
 	p.ticket, p.poll = ticket, tablesWanted
--- a/internal/longpoll/wire.go
+++ b/internal/longpoll/wire.go
@@ -1,7 +1,6 @@
 package longpoll
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -9,9 +8,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
+	"vetchwood/internal/h1"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -33,52 +32,48 @@
 
 func (p *problem) last() *problem { p.close = true; return p }
 
-// request is what has been read of one.
+// request is what has been read of one. It lies in the buffer that it came in.
 type request struct {
-	*http.Request
+	h1.Head
 	body   []byte
 	length int // of head and body
 }
 
-var endOfHead = []byte("\r\n\r\n")
-
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 1024) }}
-
-// next finds the first whole request in what has come so far; nil if more is needed. The framing is narrower
-// than RFC 9112: a body has a length, or there is none.
-func next(buf []byte, mostHead, mostBody int) (*request, *problem) {
-	end := bytes.Index(buf[:min(len(buf), mostHead)], endOfHead)
-	if end < 0 {
-		if len(buf) >= mostHead {
-			return nil, bad(http.StatusRequestHeaderFieldsTooLarge, "the head is longer than %d bytes", mostHead).last()
-		}
-		return nil, nil
+// next finds the first whole request in what has come so far; false if more is needed. The framing is narrower than RFC
+// 9112: a body has a length, or there is none.
+func (r *request) next(buf []byte, mostHead, mostBody int) (bool, *problem) {
+	end, w := r.Request(buf, mostHead)
+	if w != nil {
+		return false, bad(w.Status, "%s", w.Why).last()
 	}
-	end += len(endOfHead)
-	in := readers.Get().(*bufio.Reader)
-	defer readers.Put(in)
-	in.Reset(bytes.NewReader(buf[:end]))
-	r, err := http.ReadRequest(in)
-	if err != nil {
-		return nil, bad(http.StatusBadRequest, "the head can't be read: %v", err).last()
+	if end == 0 {
+		return false, nil
 	}
-	if len(r.TransferEncoding) > 0 {
-		return nil, bad(http.StatusNotImplemented, "a body is taken with a Content-Length alone").last()
+	if r.Chunked {
+		return false, bad(http.StatusNotImplemented, "a body is taken with a Content-Length alone").last()
 	}
-	if r.ProtoMajor != 1 {
-		return nil, bad(http.StatusHTTPVersionNotSupported, "HTTP/1.1 alone is spoken here").last()
+	length := max(0, r.Length)
+	if length > int64(mostBody) {
+		return false, bad(http.StatusRequestEntityTooLarge, "the body has %d bytes, of %d at most", length, mostBody).last()
 	}
-	if r.ContentLength > int64(mostBody) {
-		return nil, bad(http.StatusRequestEntityTooLarge, "the body has %d bytes, of %d at most", r.ContentLength, mostBody).last()
+	if r.Expects {
+		return false, bad(http.StatusExpectationFailed, "no expectation is met here").last()
 	}
-	if r.Header.Get("Expect") != "" {
-		return nil, bad(http.StatusExpectationFailed, "no expectation is met here").last()
+	if r.length = end + int(length); len(buf) < r.length {
+		return false, nil
 	}
-	whole := end + int(r.ContentLength)
-	if len(buf) < whole {
-		return nil, nil
+	r.body = buf[end:r.length:r.length]
+	return true, nil
+}
+
+// values are those of all fields of a name in small letters.
+func (r *request) values(small string) (out []string) {
+	for _, f := range r.Fields {
+		if h1.Is(f.Name, small) {
+			out = append(out, string(f.Value))
+		}
 	}
-	return &request{r, buf[end:whole:whole], whole}, nil
+	return out
 }
 
 // entityTags reads an If-None-Match list. Tags that some other server made are passed over; `*` is any.
@@ -144,8 +139,8 @@
 	return false
 }
 
-func isJSON(r *http.Request) bool {
-	t, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+func isJSON(r *request) bool {
+	t, _, err := mime.ParseMediaType(string(r.Get("content-type")))
 	return err == nil && (t == "application/json" || strings.HasSuffix(t, "+json"))
 }
 
