--- /dev/null
+++ b/internal/custody/custody_test.go
@@ -0,0 +1,88 @@
+package custody
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func names(n int) (out []Name) {
+	for i := range n {
+		out = append(out, Name(fmt.Sprint("d", i)))
+	}
+	return out
+}
+
+// Every slice has a director, none has much more than its part, the order of learning does not matter, and when one goes
+// little moves beside what it had.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, k := rapid.IntRange(1, 200).Draw(t, "slices"), rapid.IntRange(1, 6).Draw(t, "directors")
+		members := names(k)
+		was := Spread(n, members)
+		mixed := rapid.Permutation(members).Draw(t, "order")
+		load := map[Name]int{}
+		for s, name := range Spread(n, append(mixed, mixed[0])) {
+			if name != was[s] || name == "" {
+				t.Fatalf("slice %d: %q or %q", s, name, was[s])
+			}
+			load[name]++
+		}
+		most := int(math.Ceil(float64(n) / float64(k) * uneven))
+		for name, l := range load {
+			if l > most {
+				t.Fatalf("%s has %d of %d", name, l, n)
+			}
+		}
+		if k < 2 {
+			return
+		}
+		gone := members[rapid.IntRange(0, k-1).Draw(t, "gone")]
+		var left []Name
+		for _, m := range members {
+			if m != gone {
+				left = append(left, m)
+			}
+		}
+		moved := 0
+		for s, name := range Spread(n, left) {
+			if was[s] != gone && name != was[s] {
+				moved++
+			}
+		}
+		if moved > n/4+2 {
+			t.Fatalf("%d of %d slices move beside the %d that must", moved, n, load[gone])
+		}
+	})
+}
+
+func TestASession(t *testing.T) {
+	s := NewSession(10000, 500, 1000)
+	h := &Holding{Fence: 3}
+	if !s.May(10499, h) || s.May(10500, h) || s.May(2000, nil) || s.RenewAt() > 4334 {
+		t.Fatalf("until %v", s.Until())
+	}
+	s.Renewed(5000)
+	s.Renewed(4000) // an older one that was answered later
+	if s.Until() != 14500 {
+		t.Fatalf("until %v", s.Until())
+	}
+	s.Ended()
+	if s.Renewed(20000); s.May(6000, h) {
+		t.Fatal("acts after its session ended")
+	}
+}
+
+func TestWishes(t *testing.T) {
+	holders := map[Slice]Name{0: "a", 1: "a", 2: "", 3: "b", 4: ""}
+	w := Wish("a", []Name{"a", "b", "a", "a", "b"}, func(s Slice) Name { return holders[s] }, func(n Name) bool { return true })
+	if fmt.Sprint(w) != "{[2] [1]}" {
+		t.Fatal(w)
+	}
+	w = Wish("a", []Name{"a", "b", "a", "a", "b"}, func(s Slice) Name { return holders[s] }, func(n Name) bool { return n != "b" })
+	if fmt.Sprint(w.Give) != "[]" {
+		t.Fatal("given to one that is not there", w)
+	}
+}
