Masks that may be on at some proxy are not counted on: no proxy bare after a broken stream

Change: a lift waits only where each table has another line that is surely open; scenario mask-unsure fails without it. Tried before and not kept: newcomers counted as perhaps masked, same orders.

--- a/logic/loop.go
+++ b/logic/loop.go
@@ -400,7 +400,7 @@
 // none has only that host to offer.
 func (p *publisher) held(id HostID) (held bool) {
 	for t, table := range p.stands.all() {
-		if table.holds(id) && p.bare(t, 0) {
+		if table.holds(id) && !p.sure(t, id) {
 			return false
 		}
 		held = held || p.wants.has(t) && table.part(id) > p.wants.get(t).lines.part(id)
@@ -408,6 +408,13 @@
 	return held
 }
 
+// sure says whether a table surely has another host to offer: one whose mask is known to be off at every proxy.
+func (p *publisher) sure(t TableID, but HostID) bool {
+	return slices.ContainsFunc(p.stands.get(t), func(l line) bool {
+		return l.host != but && p.doors.get(l.host) == opened && !p.stale(l.host) && !p.masked.get(l.host)
+	})
+}
+
 // needed says whether a table has no other host to offer.
 func (p *publisher) needed(id HostID) bool {
 	for t, table := range p.stands.all() {
