--- a/logic/logic.go
+++ b/logic/logic.go
@@ -767,8 +767,8 @@
 	p.doors.put(n.host, n.open)
 }
 
-// inherit takes over a mask of an earlier start, to be lifted like our own. Taken for open, its host would be the
-// only line of a table once the other is masked, and the table bare with nobody knowing.
+// inherit takes over a mask of an earlier start, to be lifted like our own. Taken for open, its host would be
+// the only line of a table once the other is masked, and the table bare with nobody knowing.
 func (p *publisher) inherit(n Masked) {
 	if !p.rules.oneOwner {
 		p.doors.put(n.Host, opened)
