--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -18,10 +18,12 @@
 	"testing"
 	"time"
 
+	"vetchwood/internal/control"
 	"vetchwood/internal/daemon"
 	"vetchwood/internal/judge"
 	"vetchwood/internal/operate"
 	"vetchwood/internal/settings"
+	"vetchwood/internal/store"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -268,3 +270,59 @@
 		}
 	}
 }
+
+// An operator's way over the sockets: list, look at the difference, go back, see what is held, let go. What is not right
+// gets an answer that says so.
+func TestAnOperatorUndoesATable(t *testing.T) {
+	t.Parallel()
+	s := small(t, 6, 3)
+	ask, ctx := s.operators(), t.Context()
+	good := s.version()
+	s.registry.State(s.hosts[0].id, logic.Draining)
+	s.registry.State(s.hosts[1].id, logic.Draining)
+	eventually(t, "tables change", func() bool { return s.version() > good })
+	time.Sleep(700 * time.Millisecond)
+	s.registry.State(s.hosts[0].id, logic.Up)
+	s.registry.State(s.hosts[1].id, logic.Up)
+	time.Sleep(300 * time.Millisecond)
+	var all []store.Version
+	if err := ask.Get(ctx, "versions?most=100", &all); err != nil || len(all) < 3 || all[0].Step <= good {
+		t.Fatalf("%v: %+v", err, all)
+	}
+	var d operate.Difference
+	if err := ask.Get(ctx, fmt.Sprintf("diff?from=%d&to=%d", good, all[0].Step), &d); err != nil || len(d.Lines)+len(d.Masked) == 0 {
+		t.Fatalf("%v: %+v", err, d)
+	}
+	wish := operate.Wish{To: good, Since: all[0].Step + 1000, Who: "ann", Why: "wrong weights", Force: true}
+	var o control.Operated
+	if err := ask.Post(ctx, "rollback", wish, &o); err != nil || o.Version <= all[0].Step || len(o.Tables) != 64 {
+		t.Fatalf("%v: %+v", err, o)
+	}
+	eventually(t, "all proxies hold it", func() bool { return s.version() >= o.Version })
+	if err := ask.Get(ctx, fmt.Sprintf("diff?from=%d&to=%d", good, o.Version), &d); err != nil || len(d.Lines) > 0 {
+		for _, l := range d.Lines { // a cold host's lines are lighter, and that is told
+			if l.To == 0 || l.From == 0 {
+				t.Fatalf("%v: %+v", err, d.Lines)
+			}
+		}
+	}
+	var pins, done control.Operated
+	if err := ask.Get(ctx, "pins", &pins); err != nil || len(pins.Tables) != 64 || pins.Tables[0].Who != "ann" {
+		t.Fatalf("%v: %+v", err, pins)
+	}
+	if err := ask.Post(ctx, "release", operate.Wish{Who: "ann", Why: "mended", Tables: []logic.TableID{3}}, &done); err != nil || len(done.Tables) != 1 {
+		t.Fatalf("%v: %+v", err, done)
+	}
+	for path, says := range map[string]string{"versions/999999": "no such version", "versions/x": "no whole number", "diff?from=a&to=2": "from",
+		"versions?most=-1": "most"} {
+		if err := ask.Get(ctx, path, &all); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+	for says, w := range map[string]operate.Wish{"who and why": {To: good, Since: 1 << 60}, "an operator's": {To: good, Who: "bob", Why: "x", Since: 1},
+		"no table 99": {To: good, Who: "bob", Why: "x", Tables: []logic.TableID{99}}, "no such version": {To: 999999, Who: "bob", Why: "x"}} {
+		if err := ask.Post(ctx, "rollback", w, &o); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%+v: %v, wanted %s", w, err, says)
+		}
+	}
+}
