--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -92,34 +92,38 @@
 	}
 }
 
-// serveAs is another process: a host that answers at once, the library's reverse proxy, or ours.
-func serveAs(kind string) {
-	hosts := strings.Split(os.Getenv("VETCHWOOD_TEST_HOSTS"), ",")
-	ln, _ := net.Listen("tcp", "127.0.0.1:0")
-	switch kind {
-	case "host":
+// answerAll is a host that answers each call at once, with next to no work.
+func answerAll(ln net.Listener, seen func()) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
 		go func() {
+			in := bufio.NewReader(c)
 			for {
-				c, err := ln.Accept()
+				line, err := in.ReadSlice('\n')
 				if err != nil {
 					return
 				}
-				go func() {
-					in := bufio.NewReader(c)
-					for {
-						line, err := in.ReadSlice('\n')
-						if err != nil {
-							return
-						}
-						if len(line) == 2 {
-							if _, err := io.WriteString(c, answerOK); err != nil {
-								return
-							}
-						}
+				if len(line) == 2 {
+					seen()
+					if _, err := io.WriteString(c, answerOK); err != nil {
+						return
 					}
-				}()
+				}
 			}
 		}()
+	}
+}
+
+// serveAs is another process: a host that answers at once, the library's reverse proxy, or ours.
+func serveAs(kind string) {
+	hosts := strings.Split(os.Getenv("VETCHWOOD_TEST_HOSTS"), ",")
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	switch kind {
+	case "host":
+		go answerAll(ln, func() {})
 		fmt.Println(ln.Addr())
 	case "library":
 		to, _ := url.Parse("http://" + hosts[0])
@@ -314,29 +318,7 @@
 				continue
 			}
 			t.Cleanup(func() { ln.Close() })
-			go func() {
-				for {
-					c, err := ln.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						in := bufio.NewReader(c)
-						for {
-							line, err := in.ReadSlice('\n')
-							if err != nil {
-								return
-							}
-							if len(line) == 2 {
-								seen[i].Add(1)
-								if _, err := io.WriteString(c, answerOK); err != nil {
-									return
-								}
-							}
-						}
-					}()
-				}
-			}()
+			go answerAll(ln, func() { seen[i].Add(1) })
 			hosts = append(hosts, ln.Addr().String())
 		}
 		p := process(t, "relay", "VETCHWOOD_TEST_HOSTS="+strings.Join(hosts, ","), "VETCHWOOD_TEST_WEIGHTS=1,2,3,4,0.5", "VETCHWOOD_TEST_PICK="+way)
