--- a/logic/logic.go
+++ b/logic/logic.go
@@ -407,8 +407,9 @@
 			}
 			if s.cold {
 				// Its room grows as it warms. The little work it did tells too little for more than its listed share,
-				// and a part of an overload would be more than it can bear with cold keys.
-				s.share = min(s.share, s.prior) * s.grown / max(1, p.around.pressure*p.around.pressure)
+				// and a part of an overload would be more than it can bear with cold keys, also of one that is throttled
+				// by now: shares are of all calls that come, and the levels may rise before the lines change.
+				s.share = min(s.share, s.prior) * s.grown / max(1, p.around.pressure*p.around.pressure, p.around.wanted)
 			}
 			shares += s.share
 		}
@@ -697,11 +698,7 @@
 		}
 	}
 	able = max(able, tried-lost) // without busy shares, what is answered is all that is known
-	around := fleet{tried / max(able, 0.1), lost / max(tried, 0.1), busy / max(of, 0.1)}
-	g.post(g.place, around)
-	for _, s := range g.seats.all() {
-		g.post(s.from, around)
-	}
+	around := fleet{tried / max(able, 0.1), lost / max(tried, 0.1), busy / max(of, 0.1), 0}
 	top, usual := float64(len(g.rules.cheap)), 0.0
 	for r := range g.usual {
 		if g.level == top {
@@ -709,12 +706,19 @@
 		}
 		usual += g.usual[r]
 	}
+	// A throttled route's calls come again and tell nothing of how many there are; the most important's do.
+	all, lead := usual, g.rules.cheap[len(g.usual)-1]
+	if g.usual[lead] > 0 {
+		all *= g.asked[lead].rate(g.now, gateMemory, 0) / g.usual[lead]
+	}
+	if g.level < top { // else all that come are in the pressure
+		around.wanted = all / max(able, 0.1)
+	}
+	g.post(g.place, around)
+	for _, s := range g.seats.all() {
+		g.post(s.from, around)
+	}
 	if g.rules.levels != NoLevels && able > 0 && usual > 0 {
-		// A throttled route's calls come again and tell nothing of how many there are; the most important's do.
-		all, lead := usual, g.rules.cheap[len(g.usual)-1]
-		if g.usual[lead] > 0 {
-			all *= g.asked[lead].rate(g.now, gateMemory, 0) / g.usual[lead]
-		}
 		want, excess := top, usual*(1-strain*able/max(all, 0.1))
 		if of > 0 && busy < of*idle {
 			excess = 0 // hosts with room to spare belie the reckoning
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -43,8 +43,9 @@
 		from                 *host
 		grown                float64 // part of its room that a fresh host has by now
 	}
-	fleet    struct{ pressure, loss, busy float64 } // demand over capacity; share of tries lost; busy share
-	expected struct{ rate float64 }                 // calls a second that the placer has laid on a host
+	// Tries over capacity; share of them lost; busy share; all calls over capacity, where some are throttled.
+	fleet    struct{ pressure, loss, busy, wanted float64 }
+	expected struct{ rate float64 } // calls a second that the placer has laid on a host
 	wanted   struct {
 		table  TableID
 		lines  lines
