--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -54,44 +54,10 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		r.t.Fatal(err)
 	}
-	d := &r.disk
-	if c.Step > 0 {
-		if c.Step <= d.Step {
-			r.t.Fatalf("step %d is written after %d", c.Step, d.Step)
-		}
-		d.Step, d.At = c.Step, c.At
-	}
-	for id, t := range c.Tables {
-		if d.Tables[id] = t; t == nil {
-			delete(d.Tables, id)
-		}
-	}
-	for id, b := range c.Bound {
-		if d.Bound[id] = b; b == nil {
-			delete(d.Bound, id)
-		}
-	}
-	if c.Masked != nil {
-		d.Masked = c.Masked
-	}
-	if c.Levels != nil {
-		d.Levels = c.Levels
-	}
-	if c.Carried != nil {
-		d.Carried = c.Carried
-	}
-	if c.Proxies != nil {
-		d.Proxies = c.Proxies
-	}
-	if c.Known != nil {
-		d.Known = c.Known
-	}
-	if c.List != nil {
-		d.List = c.List
-	}
-	if c.Pinned != nil {
-		d.Pinned = c.Pinned
+	if c.Step > 0 && c.Step <= r.disk.Step {
+		r.t.Fatalf("step %d is written after %d", c.Step, r.disk.Step)
 	}
+	r.disk.Apply(c)
 }
 
 func (r *rig) carry(out []any) {
--- a/internal/control/types.go
+++ b/internal/control/types.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"maps"
 	"regexp"
 
 	"vetchwood/internal/tables"
@@ -145,6 +146,36 @@
 	List     []Listed
 }
 
+// Apply is what a change does to what was stored.
+func (s *Saved) Apply(c Change) {
+	if c.Step > 0 {
+		s.Step, s.At = c.Step, c.At
+	}
+	for id, t := range c.Tables {
+		if s.Tables[id] = t; t == nil {
+			delete(s.Tables, id)
+		}
+	}
+	for id, by := range c.Bound {
+		if s.Bound[id] = by; by == nil {
+			delete(s.Bound, id)
+		}
+	}
+	replace(&s.Masked, maps.Clone(c.Masked), c.Masked != nil)
+	replace(&s.Levels, c.Levels, c.Levels != nil)
+	replace(&s.Carried, c.Carried, c.Carried != nil)
+	replace(&s.Proxies, c.Proxies, c.Proxies != nil)
+	replace(&s.Known, c.Known, c.Known != nil)
+	replace(&s.List, c.List, c.List != nil)
+	replace(&s.Pinned, c.Pinned, c.Pinned != nil)
+}
+
+func replace[T any](to *T, by T, set bool) {
+	if set {
+		*to = by
+	}
+}
+
 // Pin is a table that an operator holds as it is.
 type Pin struct {
 	Lines map[tables.Address]float64
--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
@@ -203,7 +202,8 @@
 			if err := unseal(fmt.Sprintf("history/%d", next), v, &change); err != nil {
 				return offer(tx, err, from)
 			}
-			apply(&saved, change)
+			change.Carried, change.Pinned = nil, nil // a snapshot has none, and a part of them would mislead
+			saved.Apply(change)
 		}
 		return nil
 	})
@@ -227,27 +227,6 @@
 	return corrupt
 }
 
-// apply is what a change does to a state.
-func apply(s *control.Saved, c control.Change) {
-	s.Step, s.At = c.Step, c.At
-	for id, t := range c.Tables {
-		if s.Tables[id] = t; t == nil {
-			delete(s.Tables, id)
-		}
-	}
-	for id, by := range c.Bound {
-		if s.Bound[id] = by; by == nil {
-			delete(s.Bound, id)
-		}
-	}
-	if c.Masked != nil {
-		s.Masked = maps.Clone(c.Masked)
-	}
-	if c.Levels != nil {
-		s.Levels = c.Levels
-	}
-}
-
 // Verify reads every record and gives what is wrong, and how many there are.
 func (s *Store) Verify() (records int, wrong []error) {
 	err := s.db.View(func(tx *bbolt.Tx) error {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -91,7 +91,7 @@
 		if err := s.Write([]control.Change{c}); err != nil {
 			t.Fatal(err)
 		}
-		apply(&state, c)
+		state.Apply(c)
 		held[step] = fmt.Sprintf("%+v %v", tablesOf(state), state.Masked)
 	}
 	return held
