--- /dev/null
+++ b/internal/wheel/wheel_test.go
@@ -0,0 +1,128 @@
+package wheel
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"vetchwood/logic"
+)
+
+// Whatever is set, moved and stopped: each timer comes once, not early, and at most a tick after its time once the wheel has
+// been told of it; the naive list says what is due.
+func TestAgainstAPlainList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const tick = 8
+		now := logic.Millis(rapid.Float64Range(0, 2e12).Draw(t, "start"))
+		w := New[int](tick, now)
+		timers, at := make([]Timer[int], 20), map[int]logic.Millis{}
+		for i := range timers {
+			timers[i].Of = i
+		}
+		span := rapid.SampledFrom([]float64{50, 3000, 4e5, 3e8, 1e12})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch i := rapid.IntRange(0, 19).Draw(t, "which"); rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				when := now + logic.Millis(rapid.Float64Range(-20, span.Draw(t, "span")).Draw(t, "in"))
+				w.Set(&timers[i], when)
+				at[i] = max(when, now) // what is due already comes next
+			case 2:
+				w.Stop(&timers[i])
+				delete(at, i)
+			default:
+				now += logic.Millis(rapid.Float64Range(0, span.Draw(t, "jump")).Draw(t, "by"))
+				w.Advance(now, func(x *Timer[int]) {
+					when, set := at[x.Of]
+					if !set {
+						t.Fatalf("timer %d comes at %v though it is not set", x.Of, now)
+					}
+					if when > now+0.001 {
+						t.Fatalf("timer %d comes at %v, %v early", x.Of, now, when-now)
+					}
+					delete(at, x.Of)
+				})
+				for i, when := range at {
+					if when+2*tick < now {
+						t.Fatalf("timer %d was due at %v and has not come by %v", i, when, now)
+					}
+				}
+				if next, any := w.Next(); any != (len(at) > 0) || any && next < now-tick {
+					t.Fatalf("next at %v, %v, with %d set at %v", next, any, len(at), now)
+				}
+			}
+			if w.Len() != len(at) {
+				t.Fatalf("%d set, by its own count %d", len(at), w.Len())
+			}
+		}
+	})
+}
+
+// One that is due sets itself again, as a lease that was renewed meanwhile does.
+func TestSetAgainWhileDue(t *testing.T) {
+	w := New[int](8, 0)
+	var x Timer[int]
+	came := 0
+	w.Set(&x, 100)
+	for now := logic.Millis(0); now <= 1000; now += 10 {
+		w.Advance(now, func(x *Timer[int]) { came++; w.Set(x, now+100) })
+	}
+	if came < 8 || came > 10 || w.Len() != 1 {
+		t.Fatalf("came %d times in a second", came)
+	}
+}
+
+// beat is the plain one: a heap.
+type beat struct {
+	at    logic.Millis
+	place int
+}
+type beats []*beat
+
+func (b beats) Len() int           { return len(b) }
+func (b beats) Less(i, j int) bool { return b[i].at < b[j].at }
+func (b beats) Swap(i, j int)      { b[i], b[j] = b[j], b[i]; b[i].place, b[j].place = i, j }
+func (b *beats) Push(x any)        { y := x.(*beat); y.place = len(*b); *b = append(*b, y) }
+func (b *beats) Pop() any          { o := *b; x := o[len(o)-1]; *b = o[:len(o)-1]; return x }
+
+// What parked polls do: a poll comes back and its end is moved on by its wait; now and then time goes on.
+func BenchmarkMove(b *testing.B) {
+	for _, n := range []int{1000, 10000, 100000} {
+		draw := rand.New(rand.NewPCG(1, 2))
+		wait := func() logic.Millis { return logic.Millis(20000 + 10000*draw.Float64()) }
+		b.Run(fmt.Sprintf("heap/%d", n), func(b *testing.B) {
+			var h beats
+			all := make([]*beat, n)
+			for i := range all {
+				all[i] = &beat{at: wait()}
+				heap.Push(&h, all[i])
+			}
+			now := logic.Millis(0)
+			for i := 0; b.Loop(); i++ {
+				now += 30000 / logic.Millis(n)
+				x := all[i%n]
+				x.at = now + wait()
+				heap.Fix(&h, x.place)
+				for h[0].at <= now {
+					h[0].at = now + wait()
+					heap.Fix(&h, 0)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("wheel/%d", n), func(b *testing.B) {
+			w := New[int](8, 0)
+			all := make([]Timer[int], n)
+			for i := range all {
+				w.Set(&all[i], wait())
+			}
+			now := logic.Millis(0)
+			for i := 0; b.Loop(); i++ {
+				now += 30000 / logic.Millis(n)
+				w.Set(&all[i%n], now+wait())
+				w.Advance(now, func(x *Timer[int]) { w.Set(x, now+wait()) })
+			}
+		})
+	}
+}
