--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -3,12 +3,15 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 
 	"vetchwood/internal/channel"
+	"vetchwood/internal/park"
 	"vetchwood/internal/sums"
 	"vetchwood/internal/tables"
+	"vetchwood/internal/versions"
 	"vetchwood/logic"
 )
 
@@ -26,9 +29,12 @@
 	intake    *sums.Intake
 	streams   map[logic.ProxyID]*stream
 	ids       []logic.ProxyID // joined, in order
-	waits     map[Ticket]logic.ProxyID
+	stands    versions.Index[logic.ProxyID]
+	readers   map[logic.ProxyID]bool // that read what was ordered before they joined as it is stored
 	kept      map[tables.Tag]*tables.Document
 	oldest    []tables.Tag
+	shown     shown
+	behind    []*step // stored, and held back until a removal has been shown to all lots
 	timers    []timer
 	routes    map[string]logic.RouteID
 	listed    map[tables.Address]bool
@@ -64,29 +70,7 @@
 	world    *world
 	messages []channel.Message
 	changed  []logic.TableID
-}
-
-// letter is the body of a message.
-type letter struct {
-	doc     *tables.Document
-	serial  logic.SerialID
-	stamped bool
-	at      logic.Millis // of the order
-}
-
-// stream is a proxy that polls.
-type stream struct {
-	name    string
-	zone    string
-	doc     *tables.Document // what it may be told by now
-	ticket  Ticket           // the poll that waits; 0: none
-	until   logic.Millis
-	delta   bool
-	base    *tables.Document // what it holds, where that is known
-	owed    []letter         // that have left the channel and were not owned up to
-	last    logic.Millis
-	reports string      // key of the last one
-	reads   tables.Step // what was ordered when it joined, and so reads by itself
+	removes  bool // a host from all tables
 }
 
 // New is a director's start. What it returns first must be carried out before the first Handle.
@@ -95,7 +79,7 @@
 	c := &Core{svc: svc, module: logic.New(seed, f), names: newNames(svc.Zones, f.Proxies, &saved), line: saved.Line,
 		channel: channel.New(f.LinesPerSecond, f.MessageSpan),
 		intake:  sums.New(f.Slices > 0, f.ReportEvery, f.IntakePerSecond), streams: map[logic.ProxyID]*stream{},
-		waits: map[Ticket]logic.ProxyID{}, kept: map[tables.Tag]*tables.Document{}, routes: map[string]logic.RouteID{},
+		readers: map[logic.ProxyID]bool{}, shown: shown{dirty: true, until: logic.Millis(math.Inf(1))}, kept: map[tables.Tag]*tables.Document{}, routes: map[string]logic.RouteID{},
 		listed: map[tables.Address]bool{}, known: newKnown(now), onlookers: map[Ticket]onlooker{}, believed: map[tables.Address]believed{},
 		expected: map[logic.TableID][]expectation{}, healthFrom: map[tables.Address]bool{}}
 	for i, r := range svc.Routes {
@@ -188,9 +172,13 @@
 
 func (c *Core) say(e Event) { c.out = append(c.out, e) }
 
+// take gives what is to be carried out, what all lots see first.
 func (c *Core) take() []any {
 	out := c.out
 	c.out = nil
+	if c.shown.dirty {
+		out = append([]any{c.publish()}, out...)
+	}
 	return out
 }
 
@@ -198,12 +186,17 @@
 func (c *Core) Handle(now logic.Millis, in []any) []any {
 	for _, i := range in {
 		switch i := i.(type) {
-		case Poll:
-			c.poll(now, i)
+		case park.Join:
+			c.join(now, i)
+		case park.Holds:
+			c.acknowledged(now, i)
+		case park.Leaves:
+			c.leaves(i)
+		case park.Wants:
+			c.wants(i)
+		case Passed:
+			c.passed(now)
 		case Broke:
-			if id, waits := c.waits[i.Ticket]; waits {
-				c.leave(now, id, "broken")
-			}
 			delete(c.onlookers, i.Ticket)
 		case Watch:
 			c.watch(now, i)
@@ -246,7 +239,7 @@
 	for _, m := range c.channel.Left(now) {
 		c.arrive(now, m)
 	}
-	c.sweep(now)
+	c.believe(now)
 	c.notes = append(c.notes, c.intake.Due(now)...)
 	slices.SortStableFunc(c.timers, func(a, b timer) int { return cmp.Compare(a.at, b.at) })
 	for len(c.timers) > 0 && c.timers[0].at <= now {
@@ -305,13 +298,11 @@
 	if d.change.Levels != nil {
 		c.known.levels = now
 	}
-	for _, id := range c.ids {
-		if st := c.streams[id]; st.base != nil && st.base.Line == c.line {
-			d.change.Least = min(d.change.Least, st.base.Step)
-		}
+	if oldest, any := c.stands.Oldest(); any {
+		d.change.Least = min(d.change.Least, oldest)
 	}
 	c.world = d.is
-	s := &step{world: d.is, changed: slices.Collect(maps.Keys(d.change.Tables))}
+	s := &step{world: d.is, changed: slices.Collect(maps.Keys(d.change.Tables)), removes: d.removes()}
 	for _, id := range c.ids {
 		lines, concerned := d.lines[id]
 		if !concerned && !(d.stamped && d.all) {
@@ -329,207 +320,19 @@
 		Detail: strconv.Itoa(len(s.messages)) + " messages"})
 }
 
-// settle lets go what is safe now.
-func (c *Core) settle(now logic.Millis, upTo tables.Step) {
-	var settled []*world
-	for len(c.unsaved) > 0 && c.unsaved[0].world.step <= upTo {
-		s := c.unsaved[0]
-		c.unsaved = c.unsaved[1:]
-		c.stored = s.world
-		settled = append(settled, s.world)
-		c.record(s.world, s.changed)
-		c.channel.Offer(now, slices.DeleteFunc(s.messages, func(m channel.Message) bool {
-			return c.streams[m.Proxy] == nil
-		}))
-	}
-	for _, id := range c.ids {
-		st := c.streams[id]
-		// What was ordered before it joined came as no message to it; it reads on as it is stored.
-		if at := min(st.reads, c.stored.step); st.doc != nil && st.doc.Step < at {
-			for _, w := range settled {
-				if w.step == at {
-					st.doc = c.document(w, id)
-					c.keep(st.doc)
-				}
-			}
-		} else if st.doc != nil {
-			continue
-		}
-		c.open(now, id, st)
-	}
-}
-
-// arrive tells a proxy what has left the channel for it, at once if its poll waits.
-func (c *Core) arrive(now logic.Millis, m channel.Message) {
-	st := c.streams[m.Proxy]
-	l := m.Body.(letter)
-	if st == nil {
-		return
-	}
-	if l.stamped {
-		st.owed = append(st.owed, l)
-	}
-	if st.doc != nil && l.doc.Step > st.doc.Step {
-		c.keep(l.doc)
-		st.doc = l.doc
-	}
-	c.open(now, m.Proxy, st)
-}
-
-// keep makes a document a base that differences may start from.
-func (c *Core) keep(d *tables.Document) {
-	tag := d.Tag()
-	if c.kept[tag] != nil {
-		return
-	}
-	c.kept[tag] = d
-	if c.svc.Facts.Slices > 0 && (c.last == nil || d.Step > c.last.Step) {
-		d.After(c.last) // all proxies are told the same documents, one after the other
-		c.last = d
-	}
-	if c.oldest = append(c.oldest, tag); len(c.oldest) > c.svc.Kept {
-		c.kept[c.oldest[0]].Forget()
-		delete(c.kept, c.oldest[0])
-		c.oldest = c.oldest[1:]
-	}
-}
-
-// reply answers the poll that waits with what its proxy may be told by now.
-func (c *Core) reply(now logic.Millis, id logic.ProxyID, st *stream) {
-	a := Answer{Ticket: st.ticket, Doc: st.doc, Kind: Whole, Lease: c.lease(now)}
-	switch {
-	case st.base == st.doc:
-		a.Kind = Unchanged
-		c.figures.Unchangeds++
-	case st.base != nil && st.delta:
-		if patch := st.doc.Delta(st.base); patch != nil {
-			a.Kind, a.Base, a.Patch = Delta, st.base, patch
-			c.figures.Deltas++
-			break
-		}
-		fallthrough
-	default:
-		c.figures.Wholes++
-	}
-	delete(c.waits, st.ticket)
-	st.ticket, st.last = 0, now
-	c.out = append(c.out, a)
-}
-
 func (c *Core) refuse(t Ticket, kind AnswerKind, why string) {
 	c.figures.Refused++
 	c.out = append(c.out, Answer{Ticket: t, Kind: kind, Why: why})
 }
 
-// find gives a proxy's number, if the settings know it.
-func (c *Core) find(name string) (logic.ProxyID, bool) {
-	if !c.svc.ProxyNames.MatchString(name) {
-		return 0, false
-	}
-	id, changed, ok := c.names.proxy(name, func(id logic.ProxyID) bool { return c.streams[id] != nil })
-	c.numbered = c.numbered || changed
-	return id, ok
-}
-
-func (c *Core) poll(now logic.Millis, p Poll) {
-	c.figures.Polls++
-	if _, known := c.names.zones[p.Zone]; !known && p.Zone != "" {
-		c.refuse(p.Ticket, Wrong, "zone "+strconv.Quote(p.Zone)+" is not one of the settings")
-		return
-	}
-	id, ok := c.find(p.Proxy)
-	if !ok {
-		c.refuse(p.Ticket, Unknown, "the settings know no proxy "+strconv.Quote(p.Proxy)+", or hold no more of them")
-		return
-	}
-	st := c.streams[id]
-	if st == nil {
-		st = &stream{name: p.Proxy, zone: p.Zone, reads: c.world.step}
-		c.streams[id] = st
-		at, _ := slices.BinarySearch(c.ids, id)
-		c.ids = slices.Insert(c.ids, at, id)
-		// What a new one is told here holds the masks and levels that stand, so it is never bare of them.
-		c.notes = append(c.notes, logic.Joined{Proxy: id, Fresh: len(p.Held) == 0, Rate: p.Rate,
-			Zone: c.names.zone(p.Zone)})
-		c.say(Event{Name: "proxy.joined", Proxy: p.Proxy})
-	} else if st.ticket != 0 {
-		// Its newer poll takes the place of the one that waits.
-		c.out = append(c.out, Answer{Ticket: st.ticket, Kind: Replaced, Doc: st.doc})
-		delete(c.waits, st.ticket)
-	}
-	st.last, st.ticket, st.delta, st.base = now, p.Ticket, p.WantsDelta, nil
-	st.until = now + max(0, min(p.Wait, c.svc.LongestWait))
-	c.waits[p.Ticket] = id
-	for _, tag := range p.Held {
-		if d := c.kept[tag]; d != nil && (st.base == nil || d.Step > st.base.Step) {
-			st.base = d
-		}
-	}
-	c.open(now, id, st)
-}
-
-// open decides what a poll gets now: what stands, or a place to wait.
-func (c *Core) open(now logic.Millis, id logic.ProxyID, st *stream) {
-	if st.doc == nil {
-		if c.stored.step < c.opening {
-			return // nothing is told before the opening step is stored
-		}
-		// A proxy that joins reads all that is stored, whatever still waits in the channel for others.
-		st.doc = c.document(c.stored, id)
-		c.keep(st.doc)
-		if st.base == nil || st.base.Step > st.doc.Step {
-			st.base = nil
-		}
-	}
-	if st.base != nil {
-		owed := st.owed[:0]
-		for _, l := range st.owed {
-			if l.doc.Step <= st.base.Step {
-				c.notes = append(c.notes, logic.Applied{Proxy: id, Serial: l.serial, Spent: now - l.at})
-			} else {
-				owed = append(owed, l)
-			}
-		}
-		st.owed = owed
-	}
-	if st.ticket != 0 && c.may(now) && (st.base != st.doc || st.until <= now) {
-		c.reply(now, id, st)
-	}
-}
-
-func (c *Core) leave(now logic.Millis, id logic.ProxyID, why string) {
-	st := c.streams[id]
-	delete(c.waits, st.ticket)
-	delete(c.streams, id)
-	if at, found := slices.BinarySearch(c.ids, id); found {
-		c.ids = slices.Delete(c.ids, at, at+1)
-	}
-	c.channel.Lose(id)
-	c.notes = append(c.notes, logic.Left{Proxy: id})
-	c.say(Event{Name: "proxy.left", Proxy: st.name, Detail: why})
-}
-
-// sweep ends polls that have waited as long as they asked for, and streams that poll no more.
-func (c *Core) sweep(now logic.Millis) {
+// believe lets go of what was learnt long ago, and asks for more.
+func (c *Core) believe(now logic.Millis) {
 	if now < c.swept+50 {
 		return
 	}
 	c.swept = now
 	c.disbelieve(now)
 	c.askPeers(now)
-	for _, id := range slices.Clone(c.ids) {
-		st := c.streams[id]
-		if st.ticket != 0 && st.doc != nil && now >= st.until && c.may(now) {
-			c.reply(now, id, st)
-		} else if st.ticket != 0 && now >= st.until+c.svc.Lease && !c.may(now) {
-			c.refuse(st.ticket, Busy, "this director's leases are over")
-			delete(c.waits, st.ticket)
-			st.ticket, st.last = 0, now
-		} else if st.ticket == 0 && now-st.last > c.svc.Lease {
-			c.figures.Expired++
-			c.leave(now, id, "no poll within the lease")
-		}
-	}
 }
 
 func (c *Core) report(now logic.Millis, r Report) {
@@ -612,7 +415,9 @@
 func (c *Core) Figures() Figures {
 	f := c.figures
 	f.Step, f.Stored, f.Joined = c.world.step, c.stored.step, len(c.ids)
-	f.Parked, f.Hosts, f.Masked = len(c.waits), len(c.listed), len(c.world.masked)
+	f.Hosts, f.Masked = len(c.listed), len(c.world.masked)
+	f.Oldest, _ = c.stands.Oldest()
+	f.Behind = c.stands.Behind(c.stored.step)
 	f.Slices = len(c.world.tables)
 	f.Waiting, f.MostWaiting, f.QueueLimit = c.channel.Waiting(), c.channel.Most(), c.svc.Facts.QueueLimit
 	f.MostMessages, f.ReportLinesWaiting = c.channel.Dense(), c.intake.Waiting()
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"testing"
 
+	"vetchwood/internal/park"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -14,6 +15,7 @@
 type rig struct {
 	t       *testing.T
 	c       *Core
+	lot     *park.Lot
 	now     logic.Millis
 	disk    Saved
 	hold    bool
@@ -38,10 +40,15 @@
 	if disk.Line == 0 {
 		r.disk = Saved{Line: 42, Tables: map[logic.TableID]*tables.Table{}, Bound: map[logic.ProxyID][]logic.TableID{}}
 	}
+	r.raise(svc)
+	return r
+}
+
+func (r *rig) raise(svc Service) {
 	var out []any
+	r.lot = park.NewLot(0, 1, park.Terms{LongestWait: svc.LongestWait, Lease: svc.Lease, Zones: svc.Zones}, r.now)
 	r.c, out = New(5, r.now, svc, r.disk)
 	r.carry(out)
-	return r
 }
 
 // write is what the store does, through its encoding.
@@ -60,17 +67,38 @@
 	r.disk.Apply(c)
 }
 
+// heard carries on what the lot says.
+func (r *rig) heard(said park.Said) {
+	for _, a := range said.Answers {
+		r.answer(a)
+	}
+	if len(said.Core) > 0 {
+		r.carry(r.c.Handle(r.now, said.Core))
+	}
+}
+
+func (r *rig) answer(o Answer) {
+	if _, twice := r.answers[o.Ticket]; twice {
+		r.t.Fatalf("ticket %d is answered twice", o.Ticket)
+	}
+	if o.Doc != nil && (o.Kind == Whole || o.Kind == Delta) && o.Doc.Step > r.disk.Step {
+		r.t.Fatalf("step %d is told, but only %d is stored", o.Doc.Step, r.disk.Step)
+	}
+	r.answers[o.Ticket] = o
+}
+
 func (r *rig) carry(out []any) {
 	for _, o := range out {
 		switch o := o.(type) {
 		case Answer:
-			if _, twice := r.answers[o.Ticket]; twice {
-				r.t.Fatalf("ticket %d is answered twice", o.Ticket)
-			}
-			if o.Doc != nil && (o.Kind == Whole || o.Kind == Delta) && o.Doc.Step > r.disk.Step {
-				r.t.Fatalf("step %d is told, but only %d is stored", o.Doc.Step, r.disk.Step)
+			r.answer(o)
+		case Publish:
+			r.heard(r.lot.See(r.now, o.View))
+			if o.Barrier {
+				r.carry(r.c.Handle(r.now, []any{Passed{}}))
 			}
-			r.answers[o.Ticket] = o
+		case park.Tell, park.Turned:
+			r.heard(r.lot.Told(r.now, o))
 		case Persist:
 			r.held = append(r.held, o.Change)
 		case Probe:
@@ -86,11 +114,26 @@
 	}
 }
 
-func (r *rig) do(in ...any) { r.t.Helper(); r.carry(r.c.Handle(r.now, in)) }
+func (r *rig) do(in ...any) {
+	r.t.Helper()
+	var rest []any
+	for _, i := range in {
+		switch i := i.(type) {
+		case Poll:
+			r.heard(r.lot.Poll(r.now, i))
+		case Broke:
+			r.heard(r.lot.Broke(r.now, i))
+		default:
+			rest = append(rest, i)
+		}
+	}
+	r.heard(r.lot.Turn(r.now))
+	r.carry(r.c.Handle(r.now, rest))
+}
 
 func (r *rig) pass(d logic.Millis) {
 	for end := r.now + d; r.now < end; {
-		r.now = min(end, max(r.now+1, r.c.Wake()))
+		r.now = min(end, max(r.now+1, r.c.Wake()), r.now+10)
 		r.do()
 	}
 }
@@ -203,9 +246,7 @@
 func TestAStartBeforeItsOpeningIsStoredTellsNothing(t *testing.T) {
 	r := &rig{t: t, now: 1e12, hold: true, answers: map[Ticket]Answer{}, disk: Saved{Line: 42,
 		Tables: map[logic.TableID]*tables.Table{}, Bound: map[logic.ProxyID][]logic.TableID{}}}
-	var out []any
-	r.c, out = New(5, r.now, service(8), r.disk)
-	r.carry(out)
+	r.raise(service(8))
 	early := r.poll("p1", 0)
 	r.pass(300)
 	if _, there := r.answers[early]; there {
@@ -245,11 +286,11 @@
 	if _, there := r.answers[second]; there {
 		t.Fatal("the newer one was answered")
 	}
-	r.do(Broke{first}) // its connection closes later; that is no leaving
+	r.do(Broke{Ticket: first, Proxy: "p1"}) // its connection closes later; that is no leaving
 	if r.c.Figures().Joined != 1 {
 		t.Fatal("left by a poll that was answered already")
 	}
-	r.do(Broke{second})
+	r.do(Broke{Ticket: second, Proxy: "p1"})
 	if r.c.Figures().Joined != 0 {
 		t.Fatal("a broken connection is no leaving")
 	}
@@ -444,7 +485,7 @@
 	r.want(r.poll("p1", 0), Whole)
 	before := r.c.world.step
 	a := r.roll(old, "ann", before, true)
-	if a.Kind != Done || a.Operated.Version <= before || len(a.Operated.Tables) != 8 {
+	if a.Kind != Done || a.Body.(*Operated).Version <= before || len(a.Body.(*Operated).Tables) != 8 {
 		t.Fatalf("%+v", a)
 	}
 	r.pass(300)
@@ -495,7 +536,7 @@
 		lines := map[tables.Address]float64{"10.0.0.0:80": 1}
 		moved.Tables[id] = &tables.Table{From: table.From, To: table.To, Lines: lines}
 	}
-	if a := r.roll(moved, "ann", old.Step, false); a.Kind != Refused || a.Operated.Moved <= mostMoved || len(r.c.pinned) > 0 {
+	if a := r.roll(moved, "ann", old.Step, false); a.Kind != Refused || a.Body.(*Operated).Moved <= mostMoved || len(r.c.pinned) > 0 {
 		t.Errorf("moves too much: %+v", a)
 	}
 	if a := r.roll(old, "", old.Step, false); a.Kind != Wrong {
@@ -535,7 +576,7 @@
 	half := r.c.world.step
 	list[0].State = logic.Up
 	r.do(List{list})
-	if a := r.roll(old, "ann", half, true); a.Kind != Done || a.Operated.Version <= half {
+	if a := r.roll(old, "ann", half, true); a.Kind != Done || a.Body.(*Operated).Version <= half {
 		t.Fatalf("%+v", a)
 	}
 	final := r.c.world.step
--- a/internal/control/held.go
+++ b/internal/control/held.go
@@ -42,14 +42,14 @@
 
 // custody is what the core holds. It is there only where slices are held by lease.
 type custody struct {
-	until  logic.Millis
 	fences map[logic.TableID]uint64
 	own    map[logic.TableID]*tables.Table // of our store, where the store of leases has no record
 }
 
 // bare takes all slices out of an opening world: none is held yet.
 func (d *draft) bare() {
-	d.c.custody = &custody{until: logic.Millis(math.Inf(-1)), fences: map[logic.TableID]uint64{}, own: d.is.tables}
+	d.c.custody = &custody{fences: map[logic.TableID]uint64{}, own: d.is.tables}
+	d.c.shown.until = logic.Millis(math.Inf(-1))
 	d.change.Tables = map[logic.TableID]*tables.Table{}
 	for t := range d.is.tables {
 		d.change.Tables[t] = nil
@@ -60,18 +60,9 @@
 // holds says whether a table is ours to write.
 func (c *Core) holds(t logic.TableID) bool { return c.custody == nil || c.custody.fences[t] > 0 }
 
-// may says whether this director may tell anything now: its leases are not known to be over.
-func (c *Core) may(now logic.Millis) bool { return c.custody == nil || now < c.custody.until }
-
 func (c *Core) guard(now logic.Millis, g Guard) {
-	if c.custody == nil {
-		return
-	}
-	was := c.may(now)
-	if c.custody.until = g.Until; !was && c.may(now) {
-		for _, id := range c.ids { // polls that were held back
-			c.open(now, id, c.streams[id])
-		}
+	if c.custody != nil {
+		c.shown.until, c.shown.dirty = g.Until, true
 	}
 }
 
@@ -158,8 +149,9 @@
 // reread commits a version that proxies read by themselves: no message goes through the channel.
 func (c *Core) reread(now logic.Millis, d *draft) {
 	c.commit(now, d)
-	for _, st := range c.streams {
+	for id, st := range c.streams {
 		st.reads = max(st.reads, d.is.step)
+		c.readers[id] = true
 	}
 }
 
@@ -202,11 +194,3 @@
 		c.out = append(c.out, r)
 	}
 }
-
-// lease is how long what is told now may be followed, counted from when its poll was sent; 0 is without an end.
-func (c *Core) lease(now logic.Millis) logic.Millis {
-	if c.custody == nil {
-		return 0
-	}
-	return max(1, c.custody.until-now)
-}
--- a/internal/control/held_test.go
+++ b/internal/control/held_test.go
@@ -101,7 +101,7 @@
 	ask := func() *learn.Facts {
 		r.ticket++
 		r.do(Facts{r.ticket})
-		return r.answers[r.ticket].Facts
+		return r.answers[r.ticket].Body.(*learn.Facts)
 	}
 	heard := *ask()
 	heard.Director, heard.Up = "d2", 60000
--- a/internal/control/known.go
+++ b/internal/control/known.go
@@ -182,7 +182,7 @@
 	for r, l := range c.world.levels {
 		f.Levels = append(f.Levels, learn.Level{Route: c.svc.Routes[r].Name, Level: l.Level, Tries: l.Tries, Age: float64(now - k.levels)})
 	}
-	c.out = append(c.out, Answer{Ticket: q.Ticket, Kind: Told, Facts: &f})
+	c.out = append(c.out, Answer{Ticket: q.Ticket, Kind: Told, Body: &f})
 }
 
 // ListLost says that the list does not answer any more; it is found again with the next List.
--- a/internal/control/operate.go
+++ b/internal/control/operate.go
@@ -58,7 +58,7 @@
 const queuePart = 0.4
 
 func (c *Core) operator(t Ticket, kind AnswerKind, why string, o *Operated) {
-	c.out = append(c.out, Answer{Ticket: t, Kind: kind, Why: why, Operated: o})
+	c.out = append(c.out, Answer{Ticket: t, Kind: kind, Why: why, Body: o})
 }
 
 // hosts is what the rules need to know of those that are listed.
@@ -218,7 +218,7 @@
 	d, listed := c.draft(float64(now)), c.hosts(now)
 	joined := float64(len(c.ids))
 	room := queuePart*c.svc.Facts.QueueLimit - c.channel.Waiting() - joined*c.svc.Facts.HeadLines
-	for _, s := range c.unsaved {
+	for _, s := range slices.Concat(c.behind, c.unsaved) {
 		for _, m := range s.messages {
 			room -= m.Lines
 		}
--- a/internal/control/types.go
+++ b/internal/control/types.go
@@ -8,7 +8,7 @@
 	"maps"
 	"regexp"
 
-	"vetchwood/internal/learn"
+	"vetchwood/internal/park"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -34,23 +34,34 @@
 	Leased      bool // slices are held by lease, each by one of several directors
 }
 
-// Ticket names a poll that waits for its answer; the front gives it out.
-type Ticket uint64
+// What polls and answers are is package park's, where polls wait.
+type (
+	Ticket     = park.Ticket
+	Poll       = park.Poll
+	Broke      = park.Broke
+	Answer     = park.Answer
+	AnswerKind = park.Kind
+)
+
+const (
+	Unchanged = park.Unchanged
+	Whole     = park.Whole
+	Delta     = park.Delta
+	Taken     = park.Taken
+	Unknown   = park.Unknown
+	Wrong     = park.Wrong
+	Busy      = park.Busy
+	Done      = park.Done
+	Conflict  = park.Conflict
+	Told      = park.Told
+	Replaced  = park.Replaced
+	Refused   = park.Refused
+)
 
-// Inputs.
+// Inputs, beside those of the lots.
 type (
-	// Poll asks for what a proxy is told. Held is what it says it holds, if anything.
-	Poll struct {
-		Ticket     Ticket
-		Proxy      string
-		Zone       string
-		Rate       float64
-		Held       []tables.Tag
-		Wait       logic.Millis
-		WantsDelta bool
-	}
-	// Broke says that the connection of a waiting poll is gone.
-	Broke struct{ Ticket Ticket }
+	// Passed says that all that lots had answered when they were closed is written.
+	Passed struct{}
 	// Report is a proxy's sums since its last one. Key tells a repeat from a new one.
 	Report struct {
 		Ticket Ticket
@@ -94,19 +105,11 @@
 
 // Outputs.
 type (
-	// Answer ends a poll or a report. Doc is what the proxy is told from now on; with a Base it is told the
-	// difference.
-	Answer struct {
-		Ticket Ticket
-		Kind   AnswerKind
-		Doc    *tables.Document
-		Base   *tables.Document
-		Patch  []byte // the difference, encoded
-		Why    string
-		Lease  logic.Millis // from the sending of the poll: what is told may not take effect later; 0: no end
-		// Operated is for operators alone.
-		Operated *Operated
-		Facts    *learn.Facts // for other directors
+	// Publish shows all lots a view, before anything else of the same turn is carried out. With a Barrier, Passed is wanted once
+	// what they had answered by then is written.
+	Publish struct {
+		View    *park.View
+		Barrier bool
 	}
 	// Persist must outlive a crash before Stored is said.
 	Persist struct{ Change Change }
@@ -120,23 +123,6 @@
 	}
 )
 
-type AnswerKind int
-
-const (
-	Unchanged AnswerKind = iota
-	Whole
-	Delta
-	Taken   // a report was counted
-	Unknown // no such proxy, or more than the settings allow
-	Wrong   // it names what is not there
-	Busy
-	Done     // an operator's change is ordered, or told
-	Conflict // another operator was faster
-	Told     // facts
-	Replaced // the proxy's newer poll waits in its place
-	Refused  // it would break a rule, or move too much
-)
-
 // Change is what a step writes; nil parts stay as they were. Who and Why are for the audit: the module's steps have none.
 type Change struct {
 	Who, Why string                `json:",omitempty"`
@@ -217,15 +203,17 @@
 
 // Figures are counted for the operator.
 type Figures struct {
-	Step, Stored                       tables.Step
-	Joined, Parked                     int
-	Waiting, MostWaiting, QueueLimit   float64
-	MostMessages                       int
-	Polls, Deltas, Wholes, Unchangeds  uint64
-	Reports, Repeats, Refused, Expired uint64
-	Faults                             uint64 // found by checks before publishing
-	ReportLinesWaiting                 int
-	Hosts, Masked                      int
-	Slices                             int    // held
-	Learnt                             uint64 // hosts whose state another director knew first
+	Step, Stored                     tables.Step
+	Joined                           int
+	Waiting, MostWaiting, QueueLimit float64
+	MostMessages                     int
+	Reports, Repeats, Refused        uint64
+	Removals                         uint64      // versions that took a host out of all tables, each a barrier
+	Oldest                           tables.Step // that a joined proxy stands on
+	Behind                           int         // proxies that stand on something older than what is stored
+	Faults                           uint64      // found by checks before publishing
+	ReportLinesWaiting               int
+	Hosts, Masked                    int
+	Slices                           int    // held
+	Learnt                           uint64 // hosts whose state another director knew first
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -48,7 +48,7 @@
 
 // look answers those that look on and have waited long enough, or hold something older.
 func (c *Core) look(now logic.Millis) {
-	if len(c.onlookers) == 0 || c.stored.step < c.opening {
+	if len(c.onlookers) == 0 || c.stored.step < c.opening || c.shown.closed {
 		return
 	}
 	doc := c.document(c.stored, 0)
--- a/internal/control/world.go
+++ b/internal/control/world.go
@@ -273,6 +273,41 @@
 	return d
 }
 
+// removes says whether the step takes a host out of all tables: by a mask, or with its last line.
+func (d *draft) removes() bool {
+	if d.change.Masked != nil {
+		for a := range d.is.masked {
+			if !d.was.masked[a] {
+				return true
+			}
+		}
+	}
+	offered := func(a tables.Address) bool {
+		for _, t := range d.is.tables {
+			if _, has := t.Lines[a]; has {
+				return true
+			}
+		}
+		return false
+	}
+	for id := range d.change.Tables {
+		was, is := d.was.tables[id], d.is.tables[id]
+		if was == nil {
+			continue
+		}
+		for a := range was.Lines {
+			stays := false
+			if is != nil {
+				_, stays = is.Lines[a]
+			}
+			if !stays && !d.is.masked[a] && !offered(a) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // check looks at a step before it is published. What the module orders goes out all the same, and the fault is told: to hold
 // a removal back because it leaves a table bare for a moment would break another rule.
 func (d *draft) check(now logic.Millis) {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -13,6 +13,7 @@
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/inflow"
+	"vetchwood/internal/park"
 	"vetchwood/internal/tables"
 	"vetchwood/logic"
 )
@@ -38,6 +39,10 @@
 	epoch   time.Time
 	offset  float64
 	fronts  []Front
+	running chan struct{} // closed once fronts are there
+	bays    []*bay
+	barrier atomic.Int64 // the longest, in microseconds
+	overdue atomic.Uint64
 	tickets atomic.Uint64
 	askers  sync.Map // control.Ticket -> chan control.Answer
 
@@ -71,8 +76,9 @@
 		return nil, err
 	}
 	d := &Director{store: store, probe: probe, log: log, epoch: time.Now(), wake: make(chan struct{}, 1),
-		line: saved.Line, door: inflow.NewDoor(rand.Float64), writes: make(chan control.Change, 4096)}
+		line: saved.Line, door: inflow.NewDoor(rand.Float64), writes: make(chan control.Change, 4096), running: make(chan struct{})}
 	d.offset = float64(d.epoch.UnixMicro()) / 1000
+	d.bays = newBays(svc, d.Now())
 	d.core, d.first = control.New(rand.Uint64(), d.Now(), svc, saved)
 	f := d.core.Figures()
 	d.seen.Store(&f)
@@ -105,21 +111,42 @@
 // Entrance gives that of a front, the first being 0.
 func (d *Director) Entrance(front int) Entrance { return Entrance{d, front} }
 
-// frontBits of a ticket say which front asked.
-const frontBits = 4
+// frontBits of a ticket say which front asked, or that the director itself did.
+const (
+	frontBits = 4
+	ourselves = 1<<frontBits - 1
+)
 
 // Ticket names a new poll or question.
 func (e Entrance) Ticket() control.Ticket {
 	return control.Ticket(e.Director.tickets.Add(1)<<frontBits | uint64(e.front))
 }
 
-// Post puts something that happened into the director's inbox.
+// Post takes something that happened: a poll or its end goes to the proxy's lot, all else into the loop's inbox.
 func (d *Director) Post(in any) {
+	switch in := in.(type) {
+	case control.Poll:
+		<-d.running
+		if a, answered := d.poll(in); answered {
+			d.deliver(a)
+		}
+	case control.Broke:
+		if in.Proxy == "" {
+			d.post(in)
+			return
+		}
+		d.in(d.bay(in.Proxy), 0, func(l *park.Lot) park.Said { return l.Broke(d.Now(), in) })
+	default:
+		d.post(in)
+	}
+}
+
+func (d *Director) post(in ...any) {
 	d.mu.Lock()
 	if len(d.box) == 0 {
 		d.since = time.Now()
 	}
-	d.box = append(d.box, in)
+	d.box = append(d.box, in...)
 	d.mu.Unlock()
 	select {
 	case d.wake <- struct{}{}:
@@ -137,8 +164,25 @@
 	d.door.Turn(time.Since(d.epoch), waited)
 }
 
-// Admit says after how long a request may come again, where the director has more to do than it can; 0: it comes in.
+// Admit says after how long a request that is no poll may come again, where its client asks too often or the director has more to do
+// than it can; 0: it comes in.
 func (d *Director) Admit(k inflow.Kind, client string) time.Duration {
+	if client != "" {
+		b := d.bay(client)
+		b.mu.Lock()
+		in, later := b.allow.Admit(time.Since(d.epoch), client)
+		b.mu.Unlock()
+		if !in {
+			return later
+		}
+	}
+	return d.shed(k)
+}
+
+func (d *Director) shed(k inflow.Kind) time.Duration {
+	if k >= inflow.Polls {
+		return 0
+	}
 	d.mu.Lock()
 	q := inflow.Queue{Length: len(d.box)}
 	if q.Length > 0 {
@@ -147,7 +191,7 @@
 	d.mu.Unlock()
 	d.doorMu.Lock()
 	defer d.doorMu.Unlock()
-	if in, later := d.door.Admit(time.Since(d.epoch), k, client, q); !in {
+	if in, later := d.door.Admit(time.Since(d.epoch), k, q); !in {
 		return later
 	}
 	return 0
@@ -162,7 +206,7 @@
 
 // Ask puts a question into the inbox and waits for its answer; for operators, of whom there are few.
 func (d *Director) Ask(ctx context.Context, in func(control.Ticket) any) (control.Answer, error) {
-	t, waits := d.Entrance(0).Ticket(), make(chan control.Answer, 1)
+	t, waits := d.Entrance(ourselves).Ticket(), make(chan control.Answer, 1)
 	d.askers.Store(t, waits)
 	defer d.askers.Delete(t)
 	d.Post(in(t))
@@ -188,8 +232,10 @@
 // Run turns until the context ends. What was ordered by then is stored.
 func (d *Director) Run(ctx context.Context, fronts ...Front) error {
 	d.fronts = fronts
+	close(d.running)
 	stored := make(chan error, 1)
 	go func() { stored <- d.write() }()
+	go d.turnLots(ctx.Done())
 	d.carryOut(ctx, d.first)
 	d.first = nil
 	timer := time.NewTimer(0)
@@ -232,15 +278,26 @@
 	return <-stored
 }
 
+// deliver gives an answer to whoever asked.
+func (d *Director) deliver(a control.Answer) {
+	if front := a.Ticket & ourselves; front != ourselves {
+		d.fronts[front].Answer(a)
+	} else if waits, asked := d.askers.LoadAndDelete(a.Ticket); asked {
+		waits.(chan control.Answer) <- a
+	}
+}
+
 func (d *Director) carryOut(ctx context.Context, out []any) {
+	var tells []any
+	defer func() { d.tell(tells) }()
 	for _, o := range out {
 		switch o := o.(type) {
 		case control.Answer:
-			if waits, asked := d.askers.LoadAndDelete(o.Ticket); asked {
-				waits.(chan control.Answer) <- o
-			} else {
-				d.fronts[o.Ticket&(1<<frontBits-1)].Answer(o)
-			}
+			d.deliver(o)
+		case control.Publish:
+			d.show(o)
+		case park.Tell, park.Turned:
+			tells = append(tells, o)
 		case control.Persist:
 			d.writes <- o.Change
 		case control.Record:
@@ -316,7 +373,7 @@
 			step = max(step, c.Step)
 		}
 		if step > 0 {
-			d.Post(control.Stored{Step: step})
+			d.post(control.Stored{Step: step})
 		}
 	}
 	return nil
--- a/internal/following/merge.go
+++ b/internal/following/merge.go
@@ -42,7 +42,7 @@
 		m.tables[name], m.sources[name] = t, tables.Source{Doc: d, From: from}
 	}
 	m.step++
-	out := *d
+	out := d.Copy()
 	out.Sources, out.Tables = maps.Clone(m.sources), maps.Clone(m.tables)
 	out.Hosts, out.Masked = map[tables.Address]tables.Host{}, map[tables.Address]bool{}
 	for name, t := range out.Tables {
--- a/internal/inflow/inflow.go
+++ b/internal/inflow/inflow.go
@@ -29,15 +29,6 @@
 	interval = 100 * time.Millisecond
 )
 
-// Of one client: so many requests at once and a second. A proxy needs two a second or so; one that is broken asks without end.
-const (
-	clientBurst = 40.0
-	clientRate  = 20.0
-)
-
-// mostClients bounds what is remembered of clients. Those that ask little are forgotten first.
-const mostClients = 65536
-
 // Door is one director's.
 type Door struct {
 	chance   func() float64
@@ -45,28 +36,18 @@
 	least    time.Duration
 	began    time.Duration
 	seen     bool
-	clients  map[string]*client
-	swept    time.Duration
 	figures  Figures
 	declined float64 // requests that were sent away lately: those will come again
 	at       time.Duration
 }
 
-type client struct {
-	credit float64
-	at     time.Duration
-}
-
 // Figures are counted for the operator.
 type Figures struct {
-	Press   float64
-	Shed    [kinds]uint64
-	Limited uint64
+	Press float64
+	Shed  [kinds]uint64
 }
 
-func NewDoor(chance func() float64) *Door {
-	return &Door{chance: chance, clients: map[string]*client{}}
-}
+func NewDoor(chance func() float64) *Door { return &Door{chance: chance} }
 
 // Turn tells how long what was handled now had waited at most. The least of an interval counts: a queue that stands.
 func (d *Door) Turn(now, waited time.Duration) {
@@ -116,15 +97,11 @@
 
 // Admit says whether a request comes in; if not, after how long it may come again. Later says longer the more were sent
 // away, and draws each its own, so that a storm comes back spread.
-func (d *Door) Admit(now time.Duration, k Kind, name string, q Queue) (in bool, later time.Duration) {
-	if name != "" && !d.has(now, name) {
-		d.figures.Limited++
-		return false, d.spread(time.Second)
-	}
+func (d *Door) Admit(now time.Duration, k Kind, q Queue) (in bool, later time.Duration) {
 	if k < Polls && d.chance() < d.shed(k, q) {
 		d.figures.Shed[k]++
 		d.declined = d.decline(now) + 1
-		return false, d.spread(time.Second + time.Duration(d.declined/declinedPerSecond*float64(time.Second)))
+		return false, spread(d.chance, time.Second+time.Duration(d.declined/declinedPerSecond*float64(time.Second)))
 	}
 	return true, 0
 }
@@ -139,46 +116,8 @@
 	return x
 }
 
-func (d *Door) spread(mean time.Duration) time.Duration {
-	return time.Duration(float64(min(mean, 30*time.Second)) * (0.5 + d.chance()))
-}
-
-// has takes a request from a client's allowance.
-func (d *Door) has(now time.Duration, name string) bool {
-	c := d.clients[name]
-	if c == nil {
-		if len(d.clients) >= mostClients {
-			d.sweep(now, 0)
-		}
-		c = &client{credit: clientBurst, at: now}
-		d.clients[name] = c
-	}
-	c.credit = min(clientBurst, c.credit+clientRate*(now-c.at).Seconds())
-	c.at = now
-	if now-d.swept > 10*time.Second {
-		d.sweep(now, 10*time.Second)
-	}
-	if c.credit < 1 {
-		return false
-	}
-	c.credit--
-	return true
-}
-
-// sweep forgets clients whose allowance is whole again: they are as good as new.
-func (d *Door) sweep(now, quiet time.Duration) {
-	d.swept = now
-	for name, c := range d.clients {
-		if c.credit+clientRate*(now-c.at).Seconds() >= clientBurst && now-c.at >= quiet {
-			delete(d.clients, name)
-		}
-	}
-	for name := range d.clients { // all are busy: some lose what they had used up, which harms nobody
-		if len(d.clients) < mostClients {
-			break
-		}
-		delete(d.clients, name)
-	}
+func spread(chance func() float64, mean time.Duration) time.Duration {
+	return time.Duration(float64(min(mean, 30*time.Second)) * (0.5 + chance()))
 }
 
 // Figures are those of now.
--- a/internal/inflow/inflow_test.go
+++ b/internal/inflow/inflow_test.go
@@ -17,7 +17,7 @@
 		for k := Looks; k < kinds; k++ { // in an order, so that chance falls the same each time
 			n := load[k]
 			for x := float64(n) / 1000; r.Float64() < x; x-- {
-				ok, _ := d.Admit(now, k, "", Queue{time.Duration(queue / able * float64(time.Second)), int(queue)})
+				ok, _ := d.Admit(now, k, Queue{time.Duration(queue / able * float64(time.Second)), int(queue)})
 				if ok {
 					queue++
 				}
@@ -64,13 +64,14 @@
 func TestClientsAndSpread(t *testing.T) {
 	r := rand.New(rand.NewPCG(3, 4))
 	d := NewDoor(r.Float64)
+	a := NewAllowances(r.Float64, 100)
 	broken, others := 0, 0
 	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
-		if ok, _ := d.Admit(now, Polls, "broken", Queue{}); ok {
+		if ok, _ := a.Admit(now, "broken"); ok {
 			broken++
 		}
 		if now%(250*time.Millisecond) == 0 {
-			if ok, _ := d.Admit(now, Polls, "other", Queue{}); ok {
+			if ok, _ := a.Admit(now, "other"); ok {
 				others++
 			}
 		}
@@ -81,7 +82,7 @@
 	d.press = float64(Polls)
 	least, most := time.Hour, time.Duration(0)
 	for range 10000 {
-		if ok, later := d.Admit(11*time.Second, NewPolls, "", Queue{}); !ok {
+		if ok, later := d.Admit(11*time.Second, NewPolls, Queue{}); !ok {
 			least, most = min(least, later), max(most, later)
 		}
 	}
--- a/internal/longpoll/bench_test.go
+++ b/internal/longpoll/bench_test.go
@@ -79,10 +79,14 @@
 	tickets atomic.Uint64
 	front   *Server
 	doc     *tables.Document
-	waits   map[control.Ticket]bool
+	waits   map[control.Ticket]any
 }
 
-func (s *shelf) Ticket() control.Ticket                  { return control.Ticket(s.tickets.Add(1)) }
+func (s *shelf) Ticket() control.Ticket { return control.Ticket(s.tickets.Add(1)) }
+func (s *shelf) Poll(p control.Poll) (control.Answer, bool, time.Duration) {
+	s.Post(p)
+	return control.Answer{}, false, 0
+}
 func (s *shelf) Admit(inflow.Kind, string) time.Duration { return 0 }
 func (s *shelf) Post(in any) {
 	p, ok := in.(control.Poll)
@@ -93,11 +97,11 @@
 	defer s.mu.Unlock()
 	switch {
 	case len(p.Held) == 0 || p.Held[0] != s.doc.Tag():
-		s.front.Answer(control.Answer{Ticket: p.Ticket, Kind: control.Whole, Doc: s.doc})
+		s.front.Answer(control.Answer{Ticket: p.Ticket, To: p.From, Kind: control.Whole, Doc: s.doc})
 	case p.Wait == 0:
-		s.front.Answer(control.Answer{Ticket: p.Ticket, Kind: control.Unchanged, Doc: s.doc})
+		s.front.Answer(control.Answer{Ticket: p.Ticket, To: p.From, Kind: control.Unchanged, Doc: s.doc})
 	default:
-		s.waits[p.Ticket] = true
+		s.waits[p.Ticket] = p.From
 	}
 }
 
@@ -105,8 +109,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.doc = d
-	for t := range s.waits {
-		s.front.Answer(control.Answer{Ticket: t, Kind: control.Whole, Doc: d})
+	for t, from := range s.waits {
+		s.front.Answer(control.Answer{Ticket: t, To: from, Kind: control.Whole, Doc: d})
 	}
 	clear(s.waits)
 }
@@ -123,7 +127,7 @@
 		go http.Serve(ln, p)
 		at, tell = ln.Addr().String(), p.tell
 	} else {
-		s := &shelf{doc: doc, waits: map[control.Ticket]bool{}}
+		s := &shelf{doc: doc, waits: map[control.Ticket]any{}}
 		l := limits
 		l.LongestWait, l.Idle = 600000, 10*time.Minute
 		s.front, _ = Listen("127.0.0.1:0", s, l, slog.New(slog.DiscardHandler))
--- a/internal/longpoll/longpoll_test.go
+++ b/internal/longpoll/longpoll_test.go
@@ -30,7 +30,11 @@
 	front   *Server
 }
 
-func (d *desk) Ticket() control.Ticket                  { return control.Ticket(d.tickets.Add(1)) }
+func (d *desk) Ticket() control.Ticket { return control.Ticket(d.tickets.Add(1)) }
+func (d *desk) Poll(p control.Poll) (control.Answer, bool, time.Duration) {
+	d.Post(p)
+	return control.Answer{}, false, 0
+}
 func (d *desk) Admit(inflow.Kind, string) time.Duration { return 0 }
 
 func (d *desk) Post(in any) {
@@ -47,6 +51,9 @@
 	d.mu.Unlock()
 	if answer != nil {
 		if a := answer(in); a != nil {
+			if poll, is := in.(control.Poll); is {
+				a.To = poll.From
+			}
 			go d.front.Answer(*a)
 		}
 	}
--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -4,13 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"math"
 	"net/http"
-	"net/url"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,9 +14,8 @@
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/inflow"
-	"vetchwood/internal/lrs"
 	"vetchwood/internal/nets"
-	"vetchwood/internal/tables"
+	"vetchwood/internal/park"
 	"vetchwood/logic"
 )
 
@@ -29,8 +23,10 @@
 type Core interface {
 	Post(in any)
 	Ticket() control.Ticket
-	// Admit says after how long a request may come again; 0: it comes in.
+	// Admit says after how long a request that is no poll may come again; 0: it comes in.
 	Admit(k inflow.Kind, client string) time.Duration
+	// Poll takes a poll: what can be answered at once is returned, the rest comes to Answer; or it may come again later.
+	Poll(control.Poll) (a control.Answer, answered bool, later time.Duration)
 }
 
 // LeaseHeader says for how many milliseconds after the poll was sent its answer may take effect, where directors hold slices
@@ -52,7 +48,7 @@
 	core   Core
 	limits Limits
 	log    *slog.Logger
-	asked  sync.Map // control.Ticket -> *peer
+	asked  sync.Map // control.Ticket -> *peer, for what is no poll
 	peers  sync.Map // netpoll.Connection -> *peer
 	open   atomic.Int64
 	failed atomic.Uint64
@@ -67,12 +63,15 @@
 	read   request        // reused from one to the next
 	ticket control.Ticket // of the request that is being answered; 0: none
 	poll   bool
-	any    bool // If-None-Match: *
+	proxy  string // whose the poll is; empty: one that looks on
+	any    bool   // If-None-Match: *
 	waits  logic.Millis
 	prefer bool
 	closes bool
 	since  time.Time // of the first byte of what is not yet whole, or of the last answer
 	gone   bool
+	out    bool          // something is written and yet to be flushed
+	sent   []park.Flight // of what is
 }
 
 // Listen opens the socket.
@@ -112,9 +111,11 @@
 		defer p.mu.Unlock()
 		p.gone = true
 		if p.ticket != 0 {
-			s.asked.Delete(p.ticket)
+			if p.proxy == "" {
+				s.asked.Delete(p.ticket)
+			}
 			if p.poll {
-				s.core.Post(control.Broke{Ticket: p.ticket})
+				s.core.Post(control.Broke{Ticket: p.ticket, Proxy: p.proxy})
 			}
 		}
 		return nil
@@ -148,8 +149,9 @@
 	return nil
 }
 
-// turn starts on the next request, if none is being answered.
+// turn starts on the next request, if none is being answered. What is answered at once goes out together.
 func (s *Server) turn(p *peer) {
+	defer s.flush(p)
 	for p.ticket == 0 && len(p.in) > 0 && !p.gone {
 		r := &p.read
 		whole, wrong := r.next(p.in, s.limits.MostHead, s.limits.MostBody)
@@ -160,17 +162,17 @@
 		if !whole {
 			return
 		}
-		p.closes = r.Close
-		wrong = s.ask(p, r)
-		if p.in = append([]byte(nil), p.in[r.length:]...); len(p.in) == 0 {
-			p.in = nil
-		}
-		p.read = request{} // it lies in the old buffer, which a poll that waits need not keep
-		p.since = time.Now()
-		if wrong != nil {
+		p.closes, p.since = r.Close, time.Now()
+		if wrong = s.ask(p, r); wrong != nil {
 			wrong.close = wrong.close || p.closes
 			s.refuse(p, wrong)
 		}
+		if rest := p.in[r.length:]; len(rest) > 0 {
+			p.in = append([]byte(nil), rest...)
+		} else {
+			p.in = nil
+		}
+		p.read = request{} // it lies in the old buffer, which a poll that waits need not keep
 	}
 }
 
@@ -180,7 +182,7 @@
 	s.write(p, head, body, wrong.close)
 }
 
-// write sends an answer; the peer's lock is held.
+// write puts an answer into the connection's buffer; the peer's lock is held.
 func (s *Server) write(p *peer, head, body []byte, closes bool) {
 	if p.gone {
 		return
@@ -190,209 +192,26 @@
 	if len(body) > 0 {
 		w.WriteBinary(body)
 	}
-	err := w.Flush()
-	if p.since = time.Now(); err != nil || closes {
+	if p.out, p.since = true, time.Now(); closes {
+		s.flush(p)
 		p.gone = true
 		go p.conn.Close()
 	}
 }
 
-// ask hands a request to the core.
-func (s *Server) ask(p *peer, r *request) *problem {
-	path, query, _ := strings.Cut(string(r.Target), "?")
-	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
-	for i, part := range parts {
-		plain, err := url.PathUnescape(part)
-		if err != nil {
-			return bad(http.StatusBadRequest, "the path %.60q can't be read", path)
-		}
-		parts[i] = plain
-	}
-	if len(parts) == 3 && parts[0] == "v1" && parts[1] == "peers" && parts[2] == "facts" {
-		if string(r.Method) != http.MethodGet {
-			wrong := bad(http.StatusMethodNotAllowed, "GET alone is taken here")
-			wrong.allow = http.MethodGet
-			return wrong
+// flush sends what is written, and says so.
+func (s *Server) flush(p *peer) {
+	if p.out {
+		p.out = false
+		if err := p.conn.Writer().Flush(); err != nil && !p.gone {
+			p.gone = true
+			go p.conn.Close()
 		}
-		if wait := s.core.Admit(inflow.Peers, ""); wait > 0 {
-			return later(wait)
-		}
-		ticket := s.core.Ticket()
-		p.ticket, p.poll = ticket, false
-		s.asked.Store(ticket, p)
-		s.core.Post(control.Facts{Ticket: ticket})
-		return nil
-	}
-	if len(parts) == 2 && parts[0] == "v1" && parts[1] == "tables" {
-		return s.look(p, r)
 	}
-	if len(parts) != 4 || parts[0] != "v1" || parts[1] != "proxies" || parts[2] == "" ||
-		parts[3] != "tables" && parts[3] != "reports" {
-		return bad(http.StatusNotFound, "there is /v1/proxies/{proxy}/tables, /v1/proxies/{proxy}/reports and /v1/tables")
+	for _, f := range p.sent {
+		f.Landed()
 	}
-	proxy, tablesWanted := parts[2], parts[3] == "tables"
-	if len(proxy) > 128 {
-		return bad(http.StatusNotFound, "a proxy's name has at most 128 bytes")
-	}
-	if allow := map[bool]string{true: http.MethodGet, false: http.MethodPost}[tablesWanted]; string(r.Method) != allow {
-		wrong := bad(http.StatusMethodNotAllowed, "%s alone is taken here", allow)
-		wrong.allow = allow
-		return wrong
-	}
-	var in any
-	ticket := s.core.Ticket()
-	if tablesWanted {
-		q := control.Poll{Ticket: ticket, Proxy: proxy, WantsDelta: takes(r.values("a-im"))}
-		var wrong *problem
-		if q.Held, p.any, wrong = entityTags(r.values("if-none-match")); wrong != nil {
-			return wrong
-		}
-		q.Wait, p.prefer = preferredWait(r.values("prefer"))
-		q.Wait = min(q.Wait, s.limits.LongestWait)
-		hints, err := url.ParseQuery(query)
-		if err != nil {
-			return bad(http.StatusBadRequest, "the query can't be read: %v", err)
-		}
-		q.Zone = hints.Get("zone")
-		if text := hints.Get("rate"); text != "" {
-			rate, err := strconv.ParseFloat(text, 64)
-			if err != nil || math.IsNaN(rate) || rate < 0 || rate > 1e9 {
-				return bad(http.StatusBadRequest, "rate: %.40q is no number of calls a second", text)
-			}
-			q.Rate = rate
-		}
-		p.waits, in = q.Wait, q
-		kind := inflow.Polls
-		if len(q.Held) == 0 {
-			kind = inflow.NewPolls
-		}
-		if wait := s.core.Admit(kind, proxy); wait > 0 {
-			return later(wait)
-		}
-	} else {
-		if !isJSON(r) {
-			return bad(http.StatusUnsupportedMediaType, "a report is JSON")
-		}
-		q, err := lrs.Read(r.body)
-		if err != nil {
-			return bad(http.StatusBadRequest, "%v", err)
-		}
-		if q.Proxy != "" && q.Proxy != proxy {
-			return bad(http.StatusBadRequest, "load stats: node.id: %.60q is not the proxy of the path", q.Proxy)
-		}
-		if wait := s.core.Admit(inflow.Reports, proxy); wait > 0 {
-			return later(wait)
-		}
-		q.Ticket, q.Proxy, q.Key = ticket, proxy, string(r.Get("idempotency-key"))
-		in = q
-	}
-	p.ticket, p.poll = ticket, tablesWanted
-	s.asked.Store(ticket, p)
-	s.core.Post(in)
-	return nil
-}
-
-// look hands on the poll of one that looks on.
-func (s *Server) look(p *peer, r *request) (wrong *problem) {
-	if string(r.Method) != http.MethodGet {
-		wrong = bad(http.StatusMethodNotAllowed, "GET alone is taken here")
-		wrong.allow = http.MethodGet
-		return wrong
-	}
-	if wait := s.core.Admit(inflow.Looks, ""); wait > 0 {
-		return later(wait)
-	}
-	q := control.Watch{Ticket: s.core.Ticket(), WantsDelta: takes(r.values("a-im"))}
-	if q.Held, p.any, wrong = entityTags(r.values("if-none-match")); wrong != nil {
-		return wrong
-	}
-	q.Wait, p.prefer = preferredWait(r.values("prefer"))
-	q.Wait = min(q.Wait, s.limits.LongestWait)
-	p.waits, p.ticket, p.poll = q.Wait, q.Ticket, true
-	s.asked.Store(q.Ticket, p)
-	s.core.Post(q)
-	return nil
-}
-
-// Answer carries the core's answers out, each beside the core's own loop: a client that reads slowly holds up
-// nobody else.
-func (s *Server) Answer(a control.Answer) {
-	v, waits := s.asked.LoadAndDelete(a.Ticket)
-	if !waits {
-		return
-	}
-	var tag string
-	var body []byte
-	if a.Doc != nil {
-		if tag = a.Doc.Tag().ETag(); a.Kind == control.Whole {
-			body = a.Doc.Whole()
-		}
-	}
-	base := ""
-	if a.Base != nil {
-		base = a.Base.Tag().ETag()
-	}
-	nets.Go(func() { s.tell(v.(*peer), a, tag, base, body) })
-}
-
-func (s *Server) tell(p *peer, a control.Answer, tag, base string, body []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.ticket != a.Ticket {
-		return
-	}
-	p.ticket = 0
-	kind := a.Kind
-	if kind == control.Whole && p.any || kind == control.Replaced {
-		kind = control.Unchanged
-	}
-	var h *head
-	switch kind {
-	case control.Unknown:
-		s.refuse(p, bad(http.StatusNotFound, "%s", a.Why))
-	case control.Wrong:
-		s.refuse(p, bad(http.StatusBadRequest, "%s", a.Why))
-	case control.Busy:
-		s.refuse(p, bad(http.StatusServiceUnavailable, "%s", a.Why))
-	case control.Told:
-		body, err := json.Marshal(a.Facts)
-		if err != nil {
-			s.refuse(p, bad(http.StatusInternalServerError, "%v", err))
-			break
-		}
-		h := newHead(http.StatusOK, p.closes)
-		h.set("Cache-Control", "no-store")
-		s.write(p, h.end("application/json", len(body)), body, p.closes)
-	case control.Taken:
-		s.write(p, newHead(http.StatusNoContent, p.closes).end("", 0), nil, p.closes)
-	case control.Unchanged:
-		h = newHead(http.StatusNotModified, p.closes)
-	case control.Whole:
-		h = newHead(http.StatusOK, p.closes)
-	case control.Delta:
-		h = newHead(http.StatusIMUsed, p.closes)
-		h.set("IM", manipulation)
-		h.set("Delta-Base", base)
-	}
-	if h != nil {
-		h.set("ETag", tag)
-		h.set("Cache-Control", "no-store")
-		if a.Lease > 0 {
-			h.set(LeaseHeader, strconv.Itoa(int(a.Lease)))
-		}
-		if p.prefer {
-			h.set("Preference-Applied", "wait="+strconv.Itoa(int(p.waits/1000)))
-		}
-		switch kind {
-		case control.Unchanged:
-			s.write(p, h.end("", 0), nil, p.closes)
-		case control.Whole:
-			s.write(p, h.end(tables.MediaType, len(body)), body, p.closes)
-		case control.Delta:
-			s.write(p, h.end(tables.PatchType, len(a.Patch)), a.Patch, p.closes)
-		}
-	}
-	s.turn(p)
+	p.sent = p.sent[:0]
 }
 
 // watch ends requests that come too slowly, and connections that ask for nothing.
--- a/internal/mqtt/server.go
+++ b/internal/mqtt/server.go
@@ -369,6 +369,11 @@
 		for _, o := range desk.Handle(s.core.Now(), in...) {
 			s.carryOut(o)
 		}
+		for _, i := range in {
+			if told, is := i.(subscribe.Told); is {
+				told.Answer.Land() // what came of it stands in its connection's queue, in order
+			}
+		}
 		f := desk.Figures()
 		s.figures.Store(&f)
 	}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -190,8 +190,9 @@
 	case err != nil:
 		problem(w, http.StatusServiceUnavailable, err)
 	case a.Kind == control.Done:
-		answer(w)(a.Operated, nil)
+		answer(w)(a.Body, nil)
 	default:
+		operated, _ := a.Body.(*control.Operated)
 		status := map[control.AnswerKind]int{control.Wrong: http.StatusBadRequest, control.Conflict: http.StatusConflict,
 			control.Refused: http.StatusUnprocessableEntity}[a.Kind]
 		w.Header().Set("Content-Type", "application/problem+json")
@@ -200,7 +201,7 @@
 			Type, Title, Detail string
 			Status              int
 			Operated            *control.Operated `json:"operated,omitempty"`
-		}{"about:blank", http.StatusText(status), a.Why, status, a.Operated})
+		}{"about:blank", http.StatusText(status), a.Why, status, operated})
 	}
 }
 
--- a/internal/rehearse/rogue_test.go
+++ b/internal/rehearse/rogue_test.go
@@ -46,7 +46,11 @@
 	return float64(r.epoch.UnixMicro())/1000 + float64(time.Since(r.epoch).Nanoseconds())/1e6
 }
 
-func (r *rogue) Ticket() control.Ticket                  { return control.Ticket(r.tickets.Add(1)) }
+func (r *rogue) Ticket() control.Ticket { return control.Ticket(r.tickets.Add(1)) }
+func (r *rogue) Poll(p control.Poll) (control.Answer, bool, time.Duration) {
+	r.Post(p)
+	return control.Answer{}, false, 0
+}
 func (r *rogue) Admit(inflow.Kind, string) time.Duration { return 0 }
 
 func (r *rogue) Post(in any) {
@@ -65,7 +69,7 @@
 }
 
 func (r *rogue) answer(p control.Poll) {
-	a := control.Answer{Ticket: p.Ticket, Kind: control.Whole, Doc: r.doc}
+	a := control.Answer{Ticket: p.Ticket, To: p.From, Kind: control.Whole, Doc: r.doc}
 	if len(p.Held) > 0 {
 		if base := r.kept[p.Held[0]]; base != nil {
 			if patch := r.doc.Delta(base); patch != nil {
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -172,8 +172,7 @@
 }
 
 func fresh(d *tables.Document) *tables.Document {
-	c := *d
-	return (&tables.Document{Pick: c.Pick, TryWait: c.TryWait, Routes: c.Routes, Hosts: c.Hosts, Masked: c.Masked, Tables: c.Tables}).Seal(3, 2, 2)
+	return d.Copy().Seal(3, 2, 2)
 }
 
 type other struct {
--- a/internal/subscribe/desk.go
+++ b/internal/subscribe/desk.go
@@ -177,7 +177,7 @@
 // part takes a session's connection away; the proxy has left until it is back.
 func (d *Desk) part(now logic.Millis, s *session) {
 	if s.ticket != 0 {
-		d.say(Post{control.Broke{Ticket: s.ticket}})
+		d.say(Post{control.Broke{Ticket: s.ticket, Proxy: s.proxy}})
 		delete(d.tickets, s.ticket)
 		s.ticket = 0
 	}
@@ -272,7 +272,7 @@
 		}
 		u.Codes = append(u.Codes, Success)
 		if s.ticket != 0 {
-			d.say(Post{control.Broke{Ticket: s.ticket}})
+			d.say(Post{control.Broke{Ticket: s.ticket, Proxy: s.proxy}})
 			delete(d.tickets, s.ticket)
 		}
 		s.topic, s.proxy, s.watch, s.ticket, s.retryAt = "", "", false, 0, 0
--- a/internal/tables/document.go
+++ b/internal/tables/document.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -93,8 +94,16 @@
 	// tables of their own document alone.
 	Sources map[string]Source `json:"-"`
 
+	made encodings
+}
+
+// encodings are made once for all that read the document, on whatever core they are.
+type encodings struct {
+	delta  sync.Mutex // held while a difference is made
+	mu     sync.Mutex
 	whole  []byte
 	digest uint64
+	etag   string
 	deltas map[*Document][]byte
 	before *Document // the step before, where that is known
 	ops    []Op      // what this one changed of it
@@ -161,44 +170,85 @@
 	return d
 }
 
+// Copy is another document of the same content, yet to be sealed.
+func (d *Document) Copy() *Document {
+	return &Document{At: d.At, Pick: d.Pick, Ejects: d.Ejects, TryWait: d.TryWait, Hash: d.Hash, FullIsProof: d.FullIsProof,
+		LevelsBy: d.LevelsBy, Routes: d.Routes, Hosts: d.Hosts, Masked: d.Masked, Tables: d.Tables, Sources: d.Sources}
+}
+
 // Merged seals a document that a proxy made of several. It is encoded nowhere.
 func (d *Document) Merged(step Step) *Document {
-	d.whole, d.digest, d.deltas, d.before, d.ops = nil, 0, nil, nil, nil
 	d.Line, d.Step, d.Version = 0, step, "merged."+strconv.FormatUint(uint64(step), 10)
 	return d
 }
 
-// Whole is the document's encoding. Only the owner of the document calls it, as with Delta.
+// Whole is the document's encoding.
 func (d *Document) Whole() []byte {
-	if d.whole == nil {
+	d.made.mu.Lock()
+	defer d.made.mu.Unlock()
+	return d.encode()
+}
+
+// encode is Whole with the lock held.
+func (d *Document) encode() []byte {
+	if d.made.whole == nil {
 		b, err := json.Marshal(d)
 		if err != nil {
 			panic(err) // all numbers were checked as they came in
 		}
-		d.whole, d.digest = b, xxhash.Sum64(b)
+		d.made.whole, d.made.digest = b, xxhash.Sum64(b)
 	}
-	return d.whole
+	return d.made.whole
 }
 
 // Tag is the document's own.
 func (d *Document) Tag() Tag {
-	d.Whole()
-	return Tag{d.Line, d.Step, d.digest}
+	d.made.mu.Lock()
+	defer d.made.mu.Unlock()
+	d.encode()
+	return Tag{d.Line, d.Step, d.made.digest}
+}
+
+// ETag is the validator of the document's tag.
+func (d *Document) ETag() string {
+	tag := d.Tag()
+	d.made.mu.Lock()
+	defer d.made.mu.Unlock()
+	if d.made.etag == "" {
+		d.made.etag = tag.ETag()
+	}
+	return d.made.etag
 }
 
 // After says which document this one follows.
-func (d *Document) After(before *Document) { d.before = before }
+func (d *Document) After(before *Document) {
+	d.made.mu.Lock()
+	defer d.made.mu.Unlock()
+	d.made.before = before
+}
+
+// changed is what the document changed of the one before, nil where none is known.
+func (d *Document) changed() (*Document, []Op) {
+	d.made.mu.Lock()
+	defer d.made.mu.Unlock()
+	if d.made.before != nil && d.made.ops == nil {
+		d.made.ops = Diff(d.made.before, d)
+	}
+	return d.made.before, d.made.ops
+}
 
 // Changes is the patch that makes d of base: composed of what the steps between them changed where those are known, and
 // by comparing the two where not.
 func (d *Document) Changes(base *Document) []Op {
 	var steps [][]Op
 	at := d
-	for ; at != base && at != nil && at.before != nil; at = at.before {
-		if at.ops == nil {
-			at.ops = Diff(at.before, at)
+	for at != base {
+		before, ops := at.changed()
+		if before == nil {
+			break
 		}
-		steps = append(steps, at.ops)
+		steps = append(steps, ops)
+		at = before
 	}
 	if at == base && len(steps) > 0 {
 		slices.Reverse(steps)
@@ -211,25 +261,42 @@
 
 // Delta is that patch, encoded once for all that hold the base. It is nil where the whole document is no longer than it.
 func (d *Document) Delta(base *Document) []byte {
-	if b, known := d.deltas[base]; known {
+	known := func() ([]byte, bool) {
+		d.made.mu.Lock()
+		defer d.made.mu.Unlock()
+		b, known := d.made.deltas[base]
+		return b, known
+	}
+	if b, made := known(); made {
+		return b
+	}
+	d.made.delta.Lock() // the first to ask makes it, and the others wait for it
+	defer d.made.delta.Unlock()
+	if b, made := known(); made {
 		return b
 	}
 	b, err := json.Marshal(d.Changes(base))
 	if err != nil {
 		panic(err)
 	}
-	if len(b) >= len(d.Whole()) {
+	d.made.mu.Lock()
+	defer d.made.mu.Unlock()
+	if len(b) >= len(d.encode()) {
 		b = nil
 	}
-	if d.deltas == nil {
-		d.deltas = map[*Document][]byte{}
+	if d.made.deltas == nil {
+		d.made.deltas = map[*Document][]byte{}
 	}
-	d.deltas[base] = b
+	d.made.deltas[base] = b
 	return b
 }
 
 // Forget lets go of the differences, and so of the documents that they start from, and of those before.
-func (d *Document) Forget() { d.deltas, d.before, d.ops = nil, nil, nil }
+func (d *Document) Forget() {
+	d.made.mu.Lock()
+	defer d.made.mu.Unlock()
+	d.made.deltas, d.made.before, d.made.ops = nil, nil, nil
+}
 
 // Parse reads a whole document and refuses one that a proxy can't follow.
 func Parse(text []byte) (*Document, error) {
@@ -247,7 +314,7 @@
 	if err := d.check(); err != nil {
 		return nil, fmt.Errorf("tables document %s: %w", d.Version, err)
 	}
-	d.whole, d.digest = text, xxhash.Sum64(text)
+	d.made.whole, d.made.digest = text, xxhash.Sum64(text)
 	return &d, nil
 }
 
--- a/internal/tables/patch.go
+++ b/internal/tables/patch.go
@@ -1,7 +1,6 @@
 package tables
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -172,12 +171,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("patch on %s: %w", base.Version, err)
 	}
-	if base.whole == nil {
-		if base.whole, err = json.Marshal(base); err != nil {
-			return nil, fmt.Errorf("patch on %s: %w", base.Version, err)
-		}
-	}
-	out, err := ops.Apply(base.whole)
+	out, err := ops.Apply(base.Whole())
 	if err != nil {
 		return nil, fmt.Errorf("patch on %s: %w", base.Version, err)
 	}
@@ -185,6 +179,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("patch on %s: %w", base.Version, err)
 	}
-	d.whole = nil // its own encoding gives the digest that the director's has
+	d.made.whole = nil // its own encoding gives the digest that the director's has
 	return d, nil
 }
--- a/internal/tables/tables_test.go
+++ b/internal/tables/tables_test.go
@@ -130,7 +130,7 @@
 		base := build()
 		docs := []*Document{base}
 		for step := Step(2); step < 10; step++ {
-			was, d := docs[len(docs)-1], *base
+			was, d := docs[len(docs)-1], base.Copy()
 			d.Tables = map[string]*Table{}
 			for name, table := range was.Tables {
 				d.Tables[name] = table
@@ -138,9 +138,8 @@
 			for i := range 5 {
 				d.Tables[fmt.Sprint(int(step)*7+i)] = &Table{Lines: map[Address]float64{"10.9.9.9:80": float64(step)}}
 			}
-			next := &Document{Pick: d.Pick, Hash: d.Hash, Routes: d.Routes, Hosts: d.Hosts, Masked: d.Masked, Tables: d.Tables}
-			next.Seal(1, step, float64(step)).After(was)
-			docs = append(docs, next)
+			d.Seal(1, step, float64(step)).After(was)
+			docs = append(docs, d)
 		}
 		target, copied := docs[len(docs)-1], build()
 		target.Changes(base)
