--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -101,6 +102,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	mux.Handle(operate.Path, operate.Handler(d, st))
+	for name, profile := range map[string]http.HandlerFunc{"": pprof.Index, "profile": pprof.Profile, "symbol": pprof.Symbol, "trace": pprof.Trace} {
+		mux.HandleFunc("GET /debug/pprof/"+name, profile)
+	}
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !d.Ready() {
--- a/internal/director/lots.go
+++ b/internal/director/lots.go
@@ -59,21 +59,25 @@
 func (d *Director) in(b *bay, own control.Ticket, do func(*park.Lot) park.Said) (a control.Answer, answered bool) {
 	b.mu.Lock()
 	said := do(b.lot)
+	var others []control.Answer
 	for i := range said.Answers {
 		f := &b.flights[b.epoch]
 		f.n.Add(1)
 		said.Answers[i].Flight = f
+		if said.Answers[i].Ticket == own {
+			a, answered = said.Answers[i], true
+		} else {
+			others = append(others, said.Answers[i])
+		}
 	}
 	if len(said.Core) > 0 { // in the order in which the lot said it, so with the lock held
 		d.post(said.Core...)
 	}
+	clear(said.Answers) // the lot uses their memory anew
+	clear(said.Core)
 	b.mu.Unlock()
-	for _, x := range said.Answers {
-		if x.Ticket == own {
-			a, answered = x, true
-		} else {
-			d.deliver(x)
-		}
+	for _, x := range others {
+		d.deliver(x)
 	}
 	return a, answered
 }
--- /dev/null
+++ b/internal/load/line.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"bufio"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"vetchwood/internal/h1"
+)
+
+// asked is a request that is yet to be answered.
+type asked struct {
+	due  time.Duration
+	kind Kind
+	sec  *Second
+}
+
+// fate is what became of one.
+type fate struct {
+	asked
+	status int // 0: it failed
+	etag   string
+	body   []byte // valid until the next answer
+}
+
+// line is a connection. What is sent on it is answered in order, and several may be in hand.
+type line struct {
+	place int
+	to    string
+	limit time.Duration
+	done  func(*line, fate)
+
+	mu    sync.Mutex
+	conn  net.Conn
+	hand  []asked // in hand, oldest first
+	watch *time.Timer
+}
+
+// send writes requests that are already put into words. What can't be sent has failed.
+func (l *line) send(text []byte, all ...asked) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		c, err := net.DialTimeout("tcp", l.to, l.limit)
+		if err != nil {
+			l.mu.Unlock()
+			for _, a := range all {
+				l.done(l, fate{asked: a})
+			}
+			l.mu.Lock()
+			return
+		}
+		l.conn = c
+		go l.read(c)
+	}
+	l.hand = append(l.hand, all...)
+	c := l.conn
+	c.SetWriteDeadline(time.Now().Add(l.limit))
+	if _, err := c.Write(text); err != nil {
+		c.Close() // its reader tells of what was in hand
+	}
+}
+
+// read takes answers until the connection ends.
+func (l *line) read(c net.Conn) {
+	in := bufio.NewReaderSize(c, 1<<10)
+	var head h1.Head
+	var body []byte
+	for {
+		text, err := wholeHead(in)
+		if err != nil {
+			break
+		}
+		n, wrong := head.Answer(text, 1<<16, nil)
+		if wrong != nil || n == 0 || head.Chunked || head.Length < 0 {
+			break
+		}
+		f := fate{status: head.Status, etag: string(head.Get("etag"))}
+		closes, length := head.Close, int(head.Length)
+		in.Discard(n)
+		if cap(body) < length {
+			body = make([]byte, length)
+		}
+		f.body = body[:length]
+		if _, err = readFull(in, f.body); err != nil {
+			break
+		}
+		l.mu.Lock()
+		if len(l.hand) == 0 || l.conn != c {
+			l.mu.Unlock()
+			break
+		}
+		f.asked = l.hand[0]
+		if l.hand = l.hand[1:]; len(l.hand) == 0 {
+			l.hand = nil
+		}
+		l.mu.Unlock()
+		l.done(l, f)
+		if closes {
+			break
+		}
+	}
+	c.Close()
+	l.mu.Lock()
+	var lost []asked
+	if l.conn == c {
+		lost, l.hand, l.conn = l.hand, nil, nil
+	}
+	l.mu.Unlock()
+	for _, a := range lost {
+		l.done(l, fate{asked: a})
+	}
+}
+
+// late ends a connection whose oldest request has waited too long.
+func (l *line) late(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.hand) > 0 && l.hand[0].kind != Waits && now-l.hand[0].due > l.limit && l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+func (l *line) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+func wholeHead(in *bufio.Reader) ([]byte, error) {
+	for from := 0; ; {
+		if _, err := in.Peek(from + 1); err != nil {
+			return nil, err
+		}
+		text, _ := in.Peek(in.Buffered())
+		if end := h1.Ends(text, from); end > 0 {
+			return text[:end], nil
+		}
+		if from = len(text); from >= in.Size() {
+			return nil, bufio.ErrBufferFull
+		}
+	}
+}
+
+func readFull(in *bufio.Reader, b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		var m int
+		m, err = in.Read(b[n:])
+		n += m
+	}
+	return n, err
+}
+
+// request puts one into words.
+func request(text []byte, k Kind, name, zone, tag string) []byte {
+	if k == Reports {
+		body := `{"node":{"id":` + strconv.Quote(name) + `}}`
+		text = append(text, "POST /v1/proxies/"+name+"/reports HTTP/1.1\r\nHost: d\r\nContent-Type: application/json\r\nContent-Length: "...)
+		text = strconv.AppendInt(text, int64(len(body)), 10)
+		text = append(text, "\r\n\r\n"...)
+		return append(text, body...)
+	}
+	text = append(text, "GET /v1/proxies/"+name+"/tables"...)
+	if zone != "" {
+		text = append(text, "?zone="+zone...)
+	}
+	text = append(text, " HTTP/1.1\r\nHost: d\r\nA-IM: json-patch\r\n"...)
+	if k == Waits {
+		text = append(text, "Prefer: wait=30\r\n"...)
+	}
+	if tag != "" && k != New {
+		text = append(text, "If-None-Match: "+tag+"\r\n"...)
+	}
+	return append(text, "\r\n"...)
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,6 +1,3 @@
-// Package load asks a director for more than it may be able to answer, by a script: arrivals come by themselves and wait for
-// no answer, and an answer's time counts from when its request should have gone out, so that a director that stalls is not
-// asked less and does not look better for it.
 package load
 
 import (
@@ -9,45 +6,16 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"vetchwood/internal/settings"
-)
-
-// Kind of request.
-type Kind string
-
-const (
-	New     Kind = "new"     // polls of proxies that hold nothing
-	Polls   Kind = "polls"   // polls that acknowledge the version that was read first
-	Reports Kind = "reports" // sums, of proxies that have polled
+	"github.com/prometheus/procfs"
 )
 
-// Step is a stretch of the script.
-type Step struct {
-	Name    string
-	Kind    Kind
-	Rate    float64 // requests a second
-	Storm   int     // requests at once, at the step's start
-	Proxies int     // that the requests are of, in turn
-	For     time.Duration
-}
-
-// Script is what is asked of whom.
-type Script struct {
-	Director string
-	Names    string // of proxies; %d is the number
-	Limit    time.Duration
-	Steps    []Step
-}
-
 // Second is what became of the requests that should have gone out in one.
 type Second struct {
 	At       int     `json:"second"`
@@ -59,226 +27,363 @@
 	P50      float64 `json:"p50_ms"` // of those answered
 	P99      float64 `json:"p99_ms"`
 	Max      float64 `json:"max_ms"`
+	CPU      float64 `json:"director_cpu,omitempty"` // cores that the director used
+	Resident float64 `json:"director_mib,omitempty"`
+	// Change is how long after they were ordered versions reached those that waited for them.
+	Changes   int     `json:"told,omitempty"`
+	Change50  float64 `json:"change_p50_ms,omitempty"`
+	Change99  float64 `json:"change_p99_ms,omitempty"`
+	ChangeMax float64 `json:"change_max_ms,omitempty"`
 
-	times *hdrhistogram.Histogram
-}
-
-// Read reads a script; all its faults are told at once.
-func Read(path string, text []byte) (*Script, error) {
-	top, err := settings.Open(path, text)
-	if err != nil {
-		return nil, err
-	}
-	top.Name = "the file"
-	s := &Script{}
-	r := top.One("load", true)
-	s.Director = strings.TrimRight(r.Text("director", settings.Needed), "/")
-	if s.Names = r.Text("names", "relay-%d"); strings.Count(s.Names, "%d") != 1 {
-		r.Fail("names", "%q does not have one %%d", s.Names)
-	}
-	s.Limit = r.Span("time_limit", 5*time.Second, time.Millisecond, time.Minute)
-	r.Done()
-	steps, names := top.Blocks("step", 1, 1, 1000)
-	for i, in := range steps {
-		st := Step{Name: names[i], Kind: Kind(in.Text("kind", settings.Needed, string(New), string(Polls), string(Reports))),
-			Rate: in.Number("rate", 0, 0, 1e6), Storm: in.Whole("storm", 0, 0, 1e6), Proxies: in.Whole("proxies", 100, 1, 1e6),
-			For: in.Span("for", -1, time.Second, time.Hour)}
-		if st.Rate == 0 && st.Storm == 0 {
-			in.Fail("rate", "a step needs a rate or a storm")
-		}
-		in.Done()
-		s.Steps = append(s.Steps, st)
-	}
-	top.Done()
-	return s, top.Err()
+	times, changes *hdrhistogram.Histogram
 }
 
 // Runner is a run in hand.
 type Runner struct {
 	script *Script
-	client *http.Client
 	began  time.Time
-	tag    string
-	known  sync.Map // proxies that have polled, for reports
+	lines  []*line
+	tag    atomic.Pointer[string] // of what was told last
+	known  sync.Map               // proxies that have polled, for reports
+	flood  atomic.Bool
+	serial atomic.Uint64
+	inHand atomic.Int64
 
 	mu      sync.Mutex
 	seconds []*Second
-	wait    sync.WaitGroup
 }
 
 // mostInHand bounds requests in hand: past it they count as failed at once, as a machine without sockets would make them.
-const mostInHand = 20000
+const mostInHand = 50000
 
 // Run plays a script and gives what became of each second.
 func Run(ctx context.Context, s *Script, tell func(Second)) ([]Second, error) {
-	r := &Runner{script: s, began: time.Now(), client: &http.Client{Timeout: s.Limit, Transport: &http.Transport{MaxIdleConns: 4096,
-		MaxIdleConnsPerHost: 4096, DialContext: (&net.Dialer{Timeout: s.Limit}).DialContext}}}
-	defer r.client.CloseIdleConnections()
-	if err := r.read(ctx); err != nil {
+	r := &Runner{script: s}
+	if err := r.first(ctx); err != nil {
 		return nil, err
 	}
+	most := 0
+	for _, st := range s.Steps {
+		most = max(most, st.Connections)
+	}
+	for i := range most {
+		r.lines = append(r.lines, &line{place: i, to: s.Director, limit: s.Limit, done: r.ended})
+	}
 	r.began = time.Now()
-	inHand := make(chan struct{}, mostInHand)
+	done, stop := context.WithCancel(ctx)
+	defer stop()
+	go r.late(done)
+	go r.meter(done)
 	draw := rand.New(rand.NewPCG(1, 2))
-	at, serial := time.Duration(0), 0
-	done := make(chan struct{})
-	go r.tell(tell, done)
+	at := time.Duration(0)
 	for _, st := range s.Steps {
 		end := at + st.For
-		fire := func(due time.Duration) {
-			serial++
-			sec := r.second(int(due.Seconds()), st.Name)
-			r.mu.Lock()
-			sec.Asked++
-			r.mu.Unlock()
-			select {
-			case inHand <- struct{}{}:
-			default:
-				r.count(sec, due, "failed")
-				return
+		switch {
+		case st.Flood > 0:
+			r.flood.Store(true)
+			for i := range st.Connections {
+				r.pour(r.lines[i], st, st.Flood)
 			}
-			name := fmt.Sprintf(s.Names, serial%st.Proxies)
-			r.wait.Go(func() {
-				fate := r.ask(ctx, st.Kind, name)
-				<-inHand
-				r.count(sec, due, fate)
-			})
-		}
-		for range st.Storm {
-			fire(at)
-		}
-		for due := at; st.Rate > 0; {
-			if due += time.Duration(draw.ExpFloat64() / st.Rate * float64(time.Second)); due >= end || ctx.Err() != nil {
-				break
+			r.rest(ctx, end)
+			r.flood.Store(false)
+		case st.Kind == Waits:
+			r.flood.Store(true)
+			for i := range st.Proxies {
+				r.wait(i, st)
 			}
-			if ahead := due - time.Since(r.began); ahead > 0 {
-				time.Sleep(ahead)
+			r.rest(ctx, end)
+			r.flood.Store(false)
+			for _, l := range r.lines {
+				l.close()
 			}
-			fire(due)
-		}
-		if rest := end - time.Since(r.began); rest > 0 {
-			select {
-			case <-ctx.Done():
-			case <-time.After(rest):
+		default:
+			for range st.Storm {
+				r.fire(st, at)
+			}
+			for due := at; st.Rate > 0; {
+				if due += time.Duration(draw.ExpFloat64() / st.Rate * float64(time.Second)); due >= end || ctx.Err() != nil {
+					break
+				}
+				if ahead := due - time.Since(r.began); ahead > 0 {
+					time.Sleep(ahead)
+				}
+				r.fire(st, due)
 			}
+			r.rest(ctx, end)
 		}
 		at = end
 	}
-	r.wait.Wait()
-	close(done)
+	for over := time.Now().Add(s.Limit + time.Second); r.inHand.Load() > 0 && time.Now().Before(over); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, l := range r.lines {
+		l.close()
+	}
 	var out []Second
-	for _, sec := range r.seconds {
-		out = append(out, r.finished(sec))
+	for n := range r.seconds {
+		out = append(out, r.finished(n))
+		if tell != nil {
+			tell(out[n])
+		}
 	}
 	return out, ctx.Err()
 }
 
-// read takes the version that acknowledging polls say they hold.
-func (r *Runner) read(ctx context.Context) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.script.Director+"/v1/tables", nil)
+func (r *Runner) rest(ctx context.Context, until time.Duration) {
+	if rest := until - time.Since(r.began); rest > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(rest):
+		}
+	}
+}
+
+// first takes the version that acknowledging polls say they hold.
+func (r *Runner) first(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.script.Director+"/v1/tables", nil)
 	if err != nil {
 		return err
 	}
-	res, err := r.client.Do(req)
+	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
 	}
 	defer res.Body.Close()
 	io.Copy(io.Discard, res.Body)
-	if r.tag = res.Header.Get("ETag"); r.tag == "" {
+	tag := res.Header.Get("ETag")
+	if r.tag.Store(&tag); tag == "" {
 		return fmt.Errorf("%s: %s: no tables to hold", r.script.Director, res.Status)
 	}
 	return nil
 }
 
-func (r *Runner) second(n int, step string) *Second {
+func (r *Runner) second(at time.Duration, step string) *Second {
+	n := max(0, int(at.Seconds()))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for len(r.seconds) <= n {
-		r.seconds = append(r.seconds, &Second{At: len(r.seconds), Step: step, times: hdrhistogram.New(1, 120_000_000, 3)})
+		r.seconds = append(r.seconds, &Second{At: len(r.seconds), Step: step, times: hdrhistogram.New(1, 120_000_000, 3),
+			changes: hdrhistogram.New(1, 120_000_000, 3)})
 	}
 	return r.seconds[n]
 }
 
-// ask makes one request and says what became of it.
-func (r *Runner) ask(ctx context.Context, k Kind, name string) string {
-	method, path, body := http.MethodGet, "/v1/proxies/"+name+"/tables", []byte(nil)
+// fire sends one request that is due, whatever became of those before.
+func (r *Runner) fire(st Step, due time.Duration) {
+	n := r.serial.Add(1)
+	sec := r.second(due, st.Name)
+	r.mu.Lock()
+	sec.Asked++
+	r.mu.Unlock()
+	a := asked{due, st.Kind, sec}
+	if r.inHand.Add(1) > mostInHand {
+		r.ended(nil, fate{asked: a})
+		return
+	}
+	l := r.lines[n%uint64(st.Connections)]
+	text := r.word(st.Kind, n%uint64(st.Proxies))
+	l.mu.Lock()
+	fresh := l.conn == nil
+	l.mu.Unlock()
+	if fresh { // it has to be opened, which must not hold up the others
+		go l.send(text, a)
+		return
+	}
+	l.send(text, a)
+}
+
+func (r *Runner) word(k Kind, proxy uint64) []byte {
+	name := fmt.Sprintf(r.script.Names, proxy)
 	if k == Reports {
-		if _, known := r.known.Load(name); !known {
+		if _, known := r.known.LoadOrStore(name, true); !known {
 			k = New // it has to poll first; that is its request
-		} else {
-			method, path = http.MethodPost, "/v1/proxies/"+name+"/reports"
-			body = []byte(`{"node":{"id":` + strconv.Quote(name) + `}}`)
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, method, r.script.Director+path, bytes.NewReader(body))
-	if err != nil {
-		return "failed"
-	}
-	if k == Polls {
-		req.Header.Set("If-None-Match", r.tag)
+	return request(make([]byte, 0, 256), k, name, r.script.Zone, *r.tag.Load())
+}
+
+// pour sends so many requests of a flood at once.
+func (r *Runner) pour(l *line, st Step, n int) {
+	due := time.Since(r.began)
+	sec := r.second(due, st.Name)
+	var text []byte
+	all := make([]asked, n)
+	for i := range all {
+		all[i] = asked{due, st.Kind, sec}
+		name := fmt.Sprintf(r.script.Names, r.serial.Add(1)%uint64(st.Proxies))
+		text = request(text, st.Kind, name, r.script.Zone, *r.tag.Load())
 	}
-	if body != nil {
-		req.Header.Set("Content-Type", "application/json")
+	r.inHand.Add(int64(n))
+	r.mu.Lock()
+	sec.Asked += n
+	r.mu.Unlock()
+	go l.send(text, all...)
+}
+
+// wait holds a poll for a proxy.
+func (r *Runner) wait(i int, st Step) {
+	due := time.Since(r.began)
+	sec := r.second(due, st.Name)
+	r.inHand.Add(1)
+	go r.lines[i].send(r.word(Waits, uint64(i)), asked{due, Waits, sec})
+}
+
+// ended counts a request that is answered, or has failed; in a flood, or while polls wait, the next follows.
+func (r *Runner) ended(l *line, f fate) {
+	took := time.Since(r.began) - f.due
+	r.inHand.Add(-1)
+	if f.kind == Waits {
+		r.told(l, f)
+		return
 	}
-	res, err := r.client.Do(req)
-	if err != nil {
-		return "failed"
+	if f.etag != "" && (f.status == http.StatusOK || f.status == http.StatusIMUsed) {
+		r.tag.Store(&f.etag)
 	}
-	defer res.Body.Close()
-	io.Copy(io.Discard, res.Body)
+	r.mu.Lock()
 	switch {
-	case res.StatusCode == http.StatusServiceUnavailable:
-		return "away"
-	case res.StatusCode < 400:
-		r.known.Store(name, true)
-		return "answered"
+	case f.status == http.StatusServiceUnavailable:
+		f.sec.Away++
+	case f.status > 0 && f.status < 400:
+		f.sec.Answered++
+		f.sec.times.RecordValue(max(1, took.Microseconds()))
+	default:
+		f.sec.Failed++
 	}
-	return "failed"
+	r.mu.Unlock()
+	if r.flood.Load() && l != nil && f.status > 0 {
+		l.mu.Lock()
+		empty := len(l.hand) == 0
+		l.mu.Unlock()
+		if st := r.at(); empty && st != nil && st.Flood > 0 {
+			r.pour(l, *st, st.Flood)
+		}
+	}
+}
+
+// at is the step in hand.
+func (r *Runner) at() *Step {
+	now := time.Since(r.began)
+	for i := range r.script.Steps {
+		if now -= r.script.Steps[i].For; now < 0 {
+			return &r.script.Steps[i]
+		}
+	}
+	return nil
 }
 
-func (r *Runner) count(sec *Second, due time.Duration, fate string) {
-	took := time.Since(r.began) - due
+// told takes what a poll that waited was told, and holds the next one.
+func (r *Runner) told(l *line, f fate) {
+	st := r.at()
+	if st == nil || st.Kind != Waits || !r.flood.Load() {
+		return
+	}
+	i := l.place
+	sec := r.second(time.Since(r.began), st.Name)
+	if at := ordered(f.body); at > 0 && f.due > 0 && f.status == http.StatusIMUsed {
+		late := float64(time.Now().UnixMicro()) - at*1000
+		r.mu.Lock()
+		sec.Changes++
+		sec.changes.RecordValue(max(1, int64(late)))
+		r.mu.Unlock()
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch fate {
-	case "answered":
-		sec.Answered++
-		sec.times.RecordValue(max(1, took.Microseconds()))
-	case "away":
+	switch {
+	case f.status == 0:
+		sec.Failed++
+	case f.status == http.StatusServiceUnavailable:
 		sec.Away++
 	default:
-		sec.Failed++
+		sec.Answered++
+	}
+	sec.Asked++
+	r.mu.Unlock()
+	if f.etag != "" {
+		r.tag.Store(&f.etag)
 	}
+	if f.status == 0 || f.status >= 400 {
+		time.AfterFunc(time.Duration(500+rand.IntN(1000))*time.Millisecond, func() { r.wait(i, *st) })
+		return
+	}
+	name := fmt.Sprintf(r.script.Names, i)
+	r.inHand.Add(1)
+	l.send(request(make([]byte, 0, 256), Waits, name, r.script.Zone, f.etag), asked{time.Since(r.began), Waits, sec})
 }
 
-func (r *Runner) finished(sec *Second) Second {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := *sec
-	out.P50, out.P99, out.Max = float64(sec.times.ValueAtQuantile(50))/1000, float64(sec.times.ValueAtQuantile(99))/1000, float64(sec.times.Max())/1000
-	return out
+// ordered is when a version was, by a difference that leads to it: Unix milliseconds.
+func ordered(patch []byte) float64 {
+	mark := []byte(`"path":"/at","value":`)
+	i := bytes.Index(patch, mark)
+	if i < 0 {
+		return 0
+	}
+	rest := patch[i+len(mark):]
+	n := bytes.IndexAny(rest, ",}")
+	at, err := strconv.ParseFloat(string(rest[:max(0, n)]), 64)
+	if err != nil {
+		return 0
+	}
+	return at
+}
+
+// late ends connections whose answers come too late.
+func (r *Runner) late(ctx context.Context) {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Since(r.began)
+		for _, l := range r.lines {
+			l.late(now)
+		}
+	}
 }
 
-// tell gives each second once its requests have had their time.
-func (r *Runner) tell(tell func(Second), done chan struct{}) {
+// meter tells what the director costs.
+func (r *Runner) meter(ctx context.Context) {
+	if r.script.PID == 0 {
+		return
+	}
+	proc, err := procfs.NewProc(r.script.PID)
+	if err != nil {
+		return
+	}
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
-	for n := 0; tell != nil; {
+	last, at := 0.0, time.Now()
+	if s, err := proc.Stat(); err == nil {
+		last = s.CPUTime()
+	}
+	for n := 0; ; n++ {
 		select {
-		case <-done:
+		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		r.mu.Lock()
-		var sec *Second
-		if n < len(r.seconds)-1 && time.Since(r.began) > time.Duration(n+1)*time.Second+r.script.Limit {
-			sec = r.seconds[n]
-			n++
+		s, err := proc.Stat()
+		if err != nil {
+			return
 		}
+		now := time.Now()
+		sec := r.second(time.Duration(n)*time.Second, "")
+		r.mu.Lock()
+		sec.CPU, sec.Resident = (s.CPUTime()-last)/now.Sub(at).Seconds(), float64(s.ResidentMemory())/(1<<20)
 		r.mu.Unlock()
-		if sec != nil {
-			tell(r.finished(sec))
-		}
+		last, at = s.CPUTime(), now
 	}
 }
+
+func (r *Runner) finished(n int) Second {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := *r.seconds[n]
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	out.P50, out.P99, out.Max = ms(out.times, 50), ms(out.times, 99), float64(out.times.Max())/1000
+	if out.Changes > 0 {
+		out.Change50, out.Change99, out.ChangeMax = ms(out.changes, 50), ms(out.changes, 99), float64(out.changes.Max())/1000
+	}
+	return out
+}
--- a/internal/longpoll/ask.go
+++ b/internal/longpoll/ask.go
@@ -1,12 +1,12 @@
 package longpoll
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/inflow"
@@ -15,64 +15,84 @@
 	"vetchwood/internal/tables"
 )
 
+var (
+	ofProxies = []byte("/v1/proxies/")
+	tablesEnd = []byte("/tables")
+	reportEnd = []byte("/reports")
+)
+
 // ask hands a request to the core.
 func (s *Server) ask(p *peer, r *request) *problem {
-	path, query, _ := strings.Cut(string(r.Target), "?")
-	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
-	for i, part := range parts {
-		plain, err := url.PathUnescape(part)
-		if err != nil {
-			return bad(http.StatusBadRequest, "the path %.60q can't be read", path)
+	path, query, _ := bytes.Cut(r.Target, []byte("?"))
+	if rest, is := bytes.CutPrefix(path, ofProxies); is {
+		if name, is := bytes.CutSuffix(rest, tablesEnd); is {
+			return s.named(p, r, name, query, http.MethodGet, s.poll)
 		}
-		parts[i] = plain
-	}
-	if len(parts) == 3 && parts[0] == "v1" && parts[1] == "peers" && parts[2] == "facts" {
-		if string(r.Method) != http.MethodGet {
-			wrong := bad(http.StatusMethodNotAllowed, "GET alone is taken here")
-			wrong.allow = http.MethodGet
-			return wrong
-		}
-		if wait := s.core.Admit(inflow.Peers, ""); wait > 0 {
-			return later(wait)
+		if name, is := bytes.CutSuffix(rest, reportEnd); is {
+			return s.named(p, r, name, query, http.MethodPost, s.report)
 		}
-		ticket := s.core.Ticket()
-		p.ticket, p.poll, p.proxy = ticket, false, ""
-		s.asked.Store(ticket, p)
-		s.core.Post(control.Facts{Ticket: ticket})
-		return nil
 	}
-	if len(parts) == 2 && parts[0] == "v1" && parts[1] == "tables" {
-		return s.look(p, r)
+	switch string(path) {
+	case "/v1/tables":
+		return s.only(r, http.MethodGet, func() *problem { return s.look(p, r) })
+	case "/v1/peers/facts":
+		return s.only(r, http.MethodGet, func() *problem {
+			if wait := s.core.Admit(inflow.Peers, ""); wait > 0 {
+				return later(wait)
+			}
+			s.post(p, s.core.Ticket(), func(t control.Ticket) any { return control.Facts{Ticket: t} })
+			return nil
+		})
+	}
+	return bad(http.StatusNotFound, "there is /v1/proxies/{proxy}/tables, /v1/proxies/{proxy}/reports and /v1/tables")
+}
+
+// post asks the core something that is no proxy's poll.
+func (s *Server) post(p *peer, t control.Ticket, in func(control.Ticket) any) {
+	p.ticket, p.poll, p.proxy = t, false, ""
+	s.asked.Store(t, p)
+	s.core.Post(in(t))
+}
+
+func (s *Server) only(r *request, method string, do func() *problem) *problem {
+	if string(r.Method) != method {
+		wrong := bad(http.StatusMethodNotAllowed, "%s alone is taken here", method)
+		wrong.allow = method
+		return wrong
 	}
-	if len(parts) != 4 || parts[0] != "v1" || parts[1] != "proxies" || parts[2] == "" ||
-		parts[3] != "tables" && parts[3] != "reports" {
+	return do()
+}
+
+// named does what is asked of a proxy by its name.
+func (s *Server) named(p *peer, r *request, name, query []byte, method string, do func(*peer, *request, string, []byte) *problem) *problem {
+	proxy := string(name)
+	if bytes.IndexByte(name, '%') >= 0 {
+		plain, err := url.PathUnescape(proxy)
+		if err != nil {
+			return bad(http.StatusBadRequest, "the path %.60q can't be read", r.Target)
+		}
+		proxy = plain
+	} else if proxy == "" || bytes.IndexByte(name, '/') >= 0 {
 		return bad(http.StatusNotFound, "there is /v1/proxies/{proxy}/tables, /v1/proxies/{proxy}/reports and /v1/tables")
 	}
-	proxy, tablesWanted := parts[2], parts[3] == "tables"
 	if len(proxy) > 128 {
 		return bad(http.StatusNotFound, "a proxy's name has at most 128 bytes")
 	}
-	if allow := map[bool]string{true: http.MethodGet, false: http.MethodPost}[tablesWanted]; string(r.Method) != allow {
-		wrong := bad(http.StatusMethodNotAllowed, "%s alone is taken here", allow)
-		wrong.allow = allow
-		return wrong
-	}
-	if tablesWanted {
-		return s.poll(p, r, proxy, query)
-	}
-	return s.report(p, r, proxy)
+	return s.only(r, method, func() *problem { return do(p, r, proxy, query) })
 }
 
 // poll hands on a proxy's poll, and answers it where that is possible at once.
-func (s *Server) poll(p *peer, r *request, proxy, query string) (wrong *problem) {
-	q := control.Poll{Ticket: s.core.Ticket(), From: p, Proxy: proxy, WantsDelta: takes(r.values("a-im"))}
-	if q.Held, p.any, wrong = entityTags(r.values("if-none-match")); wrong != nil {
+func (s *Server) poll(p *peer, r *request, proxy string, query []byte) (wrong *problem) {
+	q := control.Poll{Ticket: s.core.Ticket(), From: p, Proxy: proxy, WantsDelta: takes(r.value("a-im"))}
+	if q.Held, p.any, wrong = entityTags(r.value("if-none-match")); wrong != nil {
 		return wrong
 	}
-	q.Wait, p.prefer = preferredWait(r.values("prefer"))
+	q.Wait, p.prefer = preferredWait(r.value("prefer"))
 	q.Wait = min(q.Wait, s.limits.LongestWait)
-	if query != "" {
-		hints, err := url.ParseQuery(query)
+	if zone, only := bytes.CutPrefix(query, []byte("zone=")); only && bytes.IndexAny(zone, "&%+;") < 0 {
+		q.Zone = string(zone)
+	} else if len(query) > 0 {
+		hints, err := url.ParseQuery(string(query))
 		if err != nil {
 			return bad(http.StatusBadRequest, "the query can't be read: %v", err)
 		}
@@ -98,7 +118,7 @@
 }
 
 // report hands on a proxy's sums.
-func (s *Server) report(p *peer, r *request, proxy string) *problem {
+func (s *Server) report(p *peer, r *request, proxy string, _ []byte) *problem {
 	if !isJSON(r) {
 		return bad(http.StatusUnsupportedMediaType, "a report is JSON")
 	}
@@ -112,28 +132,21 @@
 	if wait := s.core.Admit(inflow.Reports, proxy); wait > 0 {
 		return later(wait)
 	}
-	q.Ticket, q.Proxy, q.Key = s.core.Ticket(), proxy, string(r.Get("idempotency-key"))
-	p.ticket, p.poll, p.proxy = q.Ticket, false, ""
-	s.asked.Store(q.Ticket, p)
-	s.core.Post(q)
+	q.Proxy, q.Key = proxy, string(r.Get("idempotency-key"))
+	s.post(p, s.core.Ticket(), func(t control.Ticket) any { q.Ticket = t; return q })
 	return nil
 }
 
 // look hands on the poll of one that looks on.
 func (s *Server) look(p *peer, r *request) (wrong *problem) {
-	if string(r.Method) != http.MethodGet {
-		wrong = bad(http.StatusMethodNotAllowed, "GET alone is taken here")
-		wrong.allow = http.MethodGet
-		return wrong
-	}
 	if wait := s.core.Admit(inflow.Looks, ""); wait > 0 {
 		return later(wait)
 	}
-	q := control.Watch{Ticket: s.core.Ticket(), WantsDelta: takes(r.values("a-im"))}
-	if q.Held, p.any, wrong = entityTags(r.values("if-none-match")); wrong != nil {
+	q := control.Watch{Ticket: s.core.Ticket(), WantsDelta: takes(r.value("a-im"))}
+	if q.Held, p.any, wrong = entityTags(r.value("if-none-match")); wrong != nil {
 		return wrong
 	}
-	q.Wait, p.prefer = preferredWait(r.values("prefer"))
+	q.Wait, p.prefer = preferredWait(r.value("prefer"))
 	q.Wait = min(q.Wait, s.limits.LongestWait)
 	p.waits, p.ticket, p.poll, p.proxy = q.Wait, q.Ticket, true, ""
 	s.asked.Store(q.Ticket, p)
@@ -198,9 +211,12 @@
 		}
 		h := newHead(http.StatusOK, p.closes)
 		h.set("Cache-Control", "no-store")
-		s.write(p, h.end("application/json", len(body)), body, p.closes)
+		h.end("application/json", len(body))
+		s.write(p, h, body, p.closes)
 	case control.Taken:
-		s.write(p, newHead(http.StatusNoContent, p.closes).end("", 0), nil, p.closes)
+		h := newHead(http.StatusNoContent, p.closes)
+		h.end("", 0)
+		s.write(p, h, nil, p.closes)
 	case control.Unchanged:
 		h = newHead(http.StatusNotModified, p.closes)
 	case control.Whole:
@@ -216,19 +232,22 @@
 		}
 		h.set("Cache-Control", "no-store")
 		if a.Lease > 0 {
-			h.set(LeaseHeader, strconv.Itoa(int(a.Lease)))
+			h.number(LeaseHeader, int(a.Lease))
 		}
 		if p.prefer {
 			h.set("Preference-Applied", "wait="+strconv.Itoa(int(p.waits/1000)))
 		}
+		var body []byte
 		switch kind {
-		case control.Unchanged:
-			s.write(p, h.end("", 0), nil, p.closes)
 		case control.Whole:
-			body := a.Doc.Whole()
-			s.write(p, h.end(tables.MediaType, len(body)), body, p.closes)
+			body = a.Doc.Whole()
+			h.end(tables.MediaType, len(body))
 		case control.Delta:
-			s.write(p, h.end(tables.PatchType, len(a.Patch)), a.Patch, p.closes)
+			body = a.Patch
+			h.end(tables.PatchType, len(body))
+		default:
+			h.end("", 0)
 		}
+		s.write(p, h, body, p.closes)
 	}
 }
--- a/internal/longpoll/bench_test.go
+++ b/internal/longpoll/bench_test.go
@@ -30,8 +30,8 @@
 }
 
 func (p *plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	held, _, _ := entityTags(r.Header.Values("If-None-Match"))
-	wait, _ := preferredWait(r.Header.Values("Prefer"))
+	held, _, _ := entityTags([]byte(r.Header.Get("If-None-Match")))
+	wait, _ := preferredWait([]byte(r.Header.Get("Prefer")))
 	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer end.Stop()
 	for {
--- a/internal/longpoll/longpoll_test.go
+++ b/internal/longpoll/longpoll_test.go
@@ -421,9 +421,9 @@
 			if r.length <= 0 || r.length > len(in) || len(r.body) > 1024 {
 				t.Fatalf("%d bytes of %d", r.length, len(in))
 			}
-			entityTags(r.values("if-none-match"))
-			preferredWait(r.values("prefer"))
-			takes(r.values("a-im"))
+			entityTags(r.value("if-none-match"))
+			preferredWait(r.value("prefer"))
+			takes(r.value("a-im"))
 		case len(in) >= 2048+4:
 			t.Fatal("asks for more than it may take")
 		}
--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -60,7 +60,6 @@
 	conn   netpoll.Connection
 	mu     sync.Mutex
 	in     []byte
-	read   request        // reused from one to the next
 	ticket control.Ticket // of the request that is being answered; 0: none
 	poll   bool
 	proxy  string // whose the poll is; empty: one that looks on
@@ -138,41 +137,58 @@
 	if len(p.in) == 0 {
 		p.since = time.Now()
 	}
-	p.in = append(p.in, b...)
-	r.Release()
+	lent := len(p.in) == 0 // what is whole is read where it lies
+	if lent {
+		p.in = b
+	} else {
+		p.in = append(p.in, b...)
+	}
 	if len(p.in) > s.limits.MostHead+s.limits.MostBody {
 		s.refuse(p, bad(http.StatusRequestEntityTooLarge, "more than %d bytes wait unanswered",
 			s.limits.MostHead+s.limits.MostBody).last())
-		return nil
+		p.in = nil
 	}
 	s.turn(p)
+	if lent && len(p.in) == len(b) {
+		p.in = append([]byte(nil), b...)
+	}
+	r.Release()
 	return nil
 }
 
+// readers keep the memory of requests that have been read for the next.
+var readers = sync.Pool{New: func() any { return new(request) }}
+
 // turn starts on the next request, if none is being answered. What is answered at once goes out together.
 func (s *Server) turn(p *peer) {
 	defer s.flush(p)
-	for p.ticket == 0 && len(p.in) > 0 && !p.gone {
-		r := &p.read
-		whole, wrong := r.next(p.in, s.limits.MostHead, s.limits.MostBody)
+	if p.ticket != 0 || len(p.in) == 0 {
+		return
+	}
+	r, in := readers.Get().(*request), p.in
+	defer readers.Put(r)
+	for p.ticket == 0 && len(in) > 0 && !p.gone {
+		whole, wrong := r.next(in, s.limits.MostHead, s.limits.MostBody)
 		if wrong != nil {
 			s.refuse(p, wrong)
-			return
+			in = nil
+			break
 		}
 		if !whole {
-			return
+			break
 		}
 		p.closes, p.since = r.Close, time.Now()
 		if wrong = s.ask(p, r); wrong != nil {
 			wrong.close = wrong.close || p.closes
 			s.refuse(p, wrong)
 		}
-		if rest := p.in[r.length:]; len(rest) > 0 {
-			p.in = append([]byte(nil), rest...)
-		} else {
-			p.in = nil
-		}
-		p.read = request{} // it lies in the old buffer, which a poll that waits need not keep
+		in = in[r.length:]
+	}
+	switch { // what a poll that waits does not need is not kept for it
+	case len(in) == 0:
+		p.in = nil
+	case len(in) < len(p.in):
+		p.in = append([]byte(nil), in...)
 	}
 }
 
@@ -182,13 +198,16 @@
 	s.write(p, head, body, wrong.close)
 }
 
-// write puts an answer into the connection's buffer; the peer's lock is held.
-func (s *Server) write(p *peer, head, body []byte, closes bool) {
+// write puts an answer into the connection's buffer, and gives its head back; the peer's lock is held.
+func (s *Server) write(p *peer, h *head, body []byte, closes bool) {
+	defer spare.Put(h)
 	if p.gone {
 		return
 	}
 	w := p.conn.Writer()
-	w.WriteBinary(head)
+	if room, err := w.Malloc(len(*h)); err == nil {
+		copy(room, *h)
+	}
 	if len(body) > 0 {
 		w.WriteBinary(body)
 	}
--- a/internal/longpoll/wire.go
+++ b/internal/longpoll/wire.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"vetchwood/internal/h1"
@@ -75,39 +77,43 @@
 	return true, nil
 }
 
-// values are those of all fields of a name in small letters.
-func (r *request) values(small string) (out []string) {
+// value is that of a field by its name in small letters; several of one name are one list, as RFC 9110 has it.
+func (r *request) value(small string) (out []byte) {
+	first := true
 	for _, f := range r.Fields {
-		if h1.Is(f.Name, small) {
-			out = append(out, string(f.Value))
+		switch {
+		case len(f.Name) != len(small) || !h1.Is(f.Name, small):
+		case first:
+			out, first = f.Value, false
+		default:
+			out = append(append(out[:len(out):len(out)], ','), f.Value...)
 		}
 	}
 	return out
 }
 
 // entityTags reads an If-None-Match list. Tags that some other server made are passed over; `*` is any.
-func entityTags(headers []string) (held []tables.Tag, any bool, p *problem) {
-	rest := strings.TrimSpace(strings.Join(headers, ","))
-	if rest == "*" {
+func entityTags(list []byte) (held []tables.Tag, any bool, p *problem) {
+	rest := bytes.TrimSpace(list)
+	if string(rest) == "*" {
 		return nil, true, nil
 	}
-	for rest != "" {
-		rest = strings.TrimLeft(rest, " \t,")
-		if rest == "" {
+	for len(rest) > 0 {
+		if rest = bytes.TrimLeft(rest, " \t,"); len(rest) == 0 {
 			break
 		}
-		opaque := strings.TrimPrefix(rest, "W/")
+		opaque := bytes.TrimPrefix(rest, []byte("W/"))
 		end := -1
-		if strings.HasPrefix(opaque, `"`) {
-			end = strings.IndexByte(opaque[1:], '"')
+		if opaque[0] == '"' {
+			end = bytes.IndexByte(opaque[1:], '"')
 		}
 		if end < 0 {
 			return nil, false, bad(http.StatusBadRequest, "If-None-Match: %.60q is no entity tag", rest)
 		}
-		if t, err := tables.ParseETag(opaque[:end+2]); err == nil {
+		if t, err := tables.ParseETag(string(opaque[:end+2])); err == nil {
 			held = append(held, t)
 		}
-		if rest = strings.TrimLeft(opaque[end+2:], " \t"); rest != "" && rest[0] != ',' {
+		if rest = bytes.TrimLeft(opaque[end+2:], " \t"); len(rest) > 0 && rest[0] != ',' {
 			return nil, false, bad(http.StatusBadRequest, "If-None-Match: %.60q does not go on with a comma", rest)
 		}
 		if len(held) > 16 {
@@ -118,32 +124,33 @@
 }
 
 // preferredWait is that of RFC 7240, in seconds. What can't be read is passed over, as it asks for.
-func preferredWait(headers []string) (logic.Millis, bool) {
-	for _, h := range headers {
-		for _, part := range strings.Split(h, ",") {
-			name, value, _ := strings.Cut(strings.Split(part, ";")[0], "=")
-			if !strings.EqualFold(strings.TrimSpace(name), "wait") {
-				continue
-			}
-			if n, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(value), `"`), 10, 31); err == nil {
-				return logic.Millis(n) * 1000, true
-			}
+func preferredWait(list []byte) (logic.Millis, bool) {
+	for len(list) > 0 {
+		var part []byte
+		part, list, _ = bytes.Cut(list, []byte(","))
+		part, _, _ = bytes.Cut(part, []byte(";"))
+		name, value, _ := bytes.Cut(part, []byte("="))
+		if !bytes.EqualFold(bytes.TrimSpace(name), []byte("wait")) {
+			continue
+		}
+		if n, err := strconv.ParseUint(string(bytes.Trim(bytes.TrimSpace(value), `"`)), 10, 31); err == nil {
+			return logic.Millis(n) * 1000, true
 		}
 	}
 	return 0, false
 }
 
 // takes says whether A-IM (RFC 3229) names JSON Patch.
-func takes(headers []string) bool {
-	for _, h := range headers {
-		for _, part := range strings.Split(h, ",") {
-			name, params, _ := strings.Cut(part, ";")
-			if !strings.EqualFold(strings.TrimSpace(name), manipulation) {
-				continue
-			}
-			q := strings.ReplaceAll(params, " ", "")
-			return q != "q=0" && q != "q=0.0" && q != "q=0.00" && q != "q=0.000"
+func takes(list []byte) bool {
+	for len(list) > 0 {
+		var part []byte
+		part, list, _ = bytes.Cut(list, []byte(","))
+		name, params, _ := bytes.Cut(part, []byte(";"))
+		if !bytes.EqualFold(bytes.TrimSpace(name), []byte(manipulation)) {
+			continue
 		}
+		q := strings.ReplaceAll(string(params), " ", "")
+		return q != "q=0" && q != "q=0.0" && q != "q=0.00" && q != "q=0.000"
 	}
 	return false
 }
@@ -155,15 +162,37 @@
 
 const manipulation = "json-patch"
 
-// head writes an answer's head.
-type head struct{ bytes.Buffer }
+// head is an answer's, in the making.
+type head []byte
+
+// today is the date as it is told, made once a second.
+var today atomic.Pointer[struct {
+	second int64
+	text   string
+}]
+
+func date() string {
+	now := time.Now()
+	d := today.Load()
+	if d == nil || d.second != now.Unix() {
+		d = &struct {
+			second int64
+			text   string
+		}{now.Unix(), now.UTC().Format(http.TimeFormat)}
+		today.Store(d)
+	}
+	return d.text
+}
+
+// spare keeps heads' memory for the next.
+var spare = sync.Pool{New: func() any { return new(head) }}
 
 func newHead(status int, closes bool) *head {
-	h := &head{}
-	h.Grow(320)
-	text := http.StatusText(status)
-	fmt.Fprintf(h, "HTTP/1.1 %d %s\r\n", status, text)
-	h.set("Date", time.Now().UTC().Format(http.TimeFormat))
+	h := spare.Get().(*head)
+	*h = append((*h)[:0], "HTTP/1.1 "...)
+	*h = strconv.AppendInt(*h, int64(status), 10)
+	*h = append(append(append(*h, ' '), http.StatusText(status)...), "\r\n"...)
+	h.set("Date", date())
 	if closes {
 		h.set("Connection", "close")
 	}
@@ -171,29 +200,33 @@
 }
 
 func (h *head) set(name, value string) {
-	h.WriteString(name)
-	h.WriteString(": ")
-	h.WriteString(value)
-	h.WriteString("\r\n")
+	*h = append(append(append(append(*h, name...), ": "...), value...), "\r\n"...)
+}
+
+func (h *head) number(name string, value int) {
+	*h = strconv.AppendInt(append(append(*h, name...), ": "...), int64(value), 10)
+	*h = append(*h, "\r\n"...)
 }
 
 func (h *head) end(bodyType string, length int) []byte {
 	if bodyType != "" {
 		h.set("Content-Type", bodyType)
-		h.set("Content-Length", strconv.Itoa(length))
+		h.number("Content-Length", length)
 	}
-	h.WriteString("\r\n")
-	return h.Bytes()
+	*h = append(*h, "\r\n"...)
+	return *h
 }
 
-func (p *problem) render() (head, body []byte) {
+// render puts a problem into words. The head goes back once it is written.
+func (p *problem) render() (h *head, body []byte) {
 	body, _ = json.Marshal(p)
-	h := newHead(p.Status, p.close)
+	h = newHead(p.Status, p.close)
 	if p.allow != "" {
 		h.set("Allow", p.allow)
 	}
 	if p.Status == http.StatusServiceUnavailable {
-		h.set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(p.retry.Seconds())))))
+		h.number("Retry-After", max(1, int(math.Ceil(p.retry.Seconds()))))
 	}
-	return h.end("application/problem+json", len(body)), body
+	h.end("application/problem+json", len(body))
+	return h, body
 }
--- a/internal/park/lot.go
+++ b/internal/park/lot.go
@@ -55,7 +55,7 @@
 	figures Figures
 }
 
-// Said is what a lot has to say.
+// Said is what a lot has to say. It may be read until the lot is asked again.
 type Said struct {
 	Answers []Answer
 	Core    []any
@@ -70,10 +70,12 @@
 		wheel: wheel.New[*seat](tick, now), visits: Visit(i), stride: Visit(n)}
 }
 
-// take gives what there is to say.
+// take gives what there is to say; its memory is used anew for what is said next, where it is little.
 func (l *Lot) take() Said {
 	out := l.said
-	l.said = Said{}
+	if l.said = (Said{}); cap(out.Answers)+cap(out.Core) <= 32 {
+		l.said = Said{out.Answers[:0], out.Core[:0]}
+	}
 	return out
 }
 
--- a/internal/tables/document.go
+++ b/internal/tables/document.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -97,18 +98,22 @@
 	made encodings
 }
 
-// encodings are made once for all that read the document, on whatever core they are.
+// encodings are made once for all that read the document, on whatever core they are; once made they are read without a lock.
 type encodings struct {
+	all    atomic.Pointer[encoded]
+	deltas sync.Map   // *Document -> []byte
 	delta  sync.Mutex // held while a difference is made
 	mu     sync.Mutex
-	whole  []byte
-	digest uint64
-	etag   string
-	deltas map[*Document][]byte
 	before *Document // the step before, where that is known
 	ops    []Op      // what this one changed of it
 }
 
+type encoded struct {
+	whole []byte
+	tag   Tag
+	etag  string
+}
+
 // KeyHash is the hash that places keys; the first 32 bits of it choose the slice.
 const KeyHash = "xxh64"
 
@@ -150,13 +155,11 @@
 	if len(s) < 2 || s[0] != '"' || s[len(s)-1] != '"' {
 		return t, fmt.Errorf("entity tag %.60q: not a quoted strong validator", s)
 	}
-	parts := strings.Split(s[1:len(s)-1], ".")
-	if len(parts) != 3 {
-		return t, fmt.Errorf("entity tag %.60q: not line.step.digest", s)
-	}
-	line, err1 := strconv.ParseUint(parts[0], 16, 64)
-	step, err2 := strconv.ParseUint(parts[1], 10, 64)
-	digest, err3 := strconv.ParseUint(parts[2], 16, 64)
+	first, rest, _ := strings.Cut(s[1:len(s)-1], ".")
+	second, third, _ := strings.Cut(rest, ".")
+	line, err1 := strconv.ParseUint(first, 16, 64)
+	step, err2 := strconv.ParseUint(second, 10, 64)
+	digest, err3 := strconv.ParseUint(third, 16, 64)
 	if err1 != nil || err2 != nil || err3 != nil {
 		return t, fmt.Errorf("entity tag %.60q: not line.step.digest", s)
 	}
@@ -182,43 +185,34 @@
 	return d
 }
 
-// Whole is the document's encoding.
-func (d *Document) Whole() []byte {
-	d.made.mu.Lock()
-	defer d.made.mu.Unlock()
-	return d.encode()
+// encode gives the document's encoding, by which it is known from then on.
+func (d *Document) encode() *encoded {
+	if e := d.made.all.Load(); e != nil {
+		return e
+	}
+	b, err := json.Marshal(d)
+	if err != nil {
+		panic(err) // all numbers were checked as they came in
+	}
+	d.set(b, xxhash.Sum64(b))
+	return d.made.all.Load()
 }
 
-// encode is Whole with the lock held.
-func (d *Document) encode() []byte {
-	if d.made.whole == nil {
-		b, err := json.Marshal(d)
-		if err != nil {
-			panic(err) // all numbers were checked as they came in
-		}
-		d.made.whole, d.made.digest = b, xxhash.Sum64(b)
-	}
-	return d.made.whole
+// set gives it its encoding. Where two cores do at the same time, it is the same.
+func (d *Document) set(whole []byte, digest uint64) {
+	e := &encoded{whole: whole, tag: Tag{d.Line, d.Step, digest}}
+	e.etag = e.tag.ETag()
+	d.made.all.CompareAndSwap(nil, e)
 }
 
+// Whole is the document's encoding.
+func (d *Document) Whole() []byte { return d.encode().whole }
+
 // Tag is the document's own.
-func (d *Document) Tag() Tag {
-	d.made.mu.Lock()
-	defer d.made.mu.Unlock()
-	d.encode()
-	return Tag{d.Line, d.Step, d.made.digest}
-}
+func (d *Document) Tag() Tag { return d.encode().tag }
 
 // ETag is the validator of the document's tag.
-func (d *Document) ETag() string {
-	tag := d.Tag()
-	d.made.mu.Lock()
-	defer d.made.mu.Unlock()
-	if d.made.etag == "" {
-		d.made.etag = tag.ETag()
-	}
-	return d.made.etag
-}
+func (d *Document) ETag() string { return d.encode().etag }
 
 // After says which document this one follows.
 func (d *Document) After(before *Document) {
@@ -261,33 +255,22 @@
 
 // Delta is that patch, encoded once for all that hold the base. It is nil where the whole document is no longer than it.
 func (d *Document) Delta(base *Document) []byte {
-	known := func() ([]byte, bool) {
-		d.made.mu.Lock()
-		defer d.made.mu.Unlock()
-		b, known := d.made.deltas[base]
-		return b, known
-	}
-	if b, made := known(); made {
-		return b
+	if b, made := d.made.deltas.Load(base); made {
+		return b.([]byte)
 	}
 	d.made.delta.Lock() // the first to ask makes it, and the others wait for it
 	defer d.made.delta.Unlock()
-	if b, made := known(); made {
-		return b
+	if b, made := d.made.deltas.Load(base); made {
+		return b.([]byte)
 	}
 	b, err := json.Marshal(d.Changes(base))
 	if err != nil {
 		panic(err)
 	}
-	d.made.mu.Lock()
-	defer d.made.mu.Unlock()
-	if len(b) >= len(d.encode()) {
+	if len(b) >= len(d.Whole()) {
 		b = nil
 	}
-	if d.made.deltas == nil {
-		d.made.deltas = map[*Document][]byte{}
-	}
-	d.made.deltas[base] = b
+	d.made.deltas.Store(base, b)
 	return b
 }
 
@@ -295,7 +278,8 @@
 func (d *Document) Forget() {
 	d.made.mu.Lock()
 	defer d.made.mu.Unlock()
-	d.made.deltas, d.made.before, d.made.ops = nil, nil, nil
+	d.made.before, d.made.ops = nil, nil
+	d.made.deltas.Clear()
 }
 
 // Parse reads a whole document and refuses one that a proxy can't follow.
@@ -314,7 +298,7 @@
 	if err := d.check(); err != nil {
 		return nil, fmt.Errorf("tables document %s: %w", d.Version, err)
 	}
-	d.made.whole, d.made.digest = text, xxhash.Sum64(text)
+	d.set(text, xxhash.Sum64(text))
 	return &d, nil
 }
 
--- a/internal/tables/patch.go
+++ b/internal/tables/patch.go
@@ -179,6 +179,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("patch on %s: %w", base.Version, err)
 	}
-	d.made.whole = nil // its own encoding gives the digest that the director's has
+	d.made.all.Store(nil) // its own encoding gives the digest that the director's has
 	return d, nil
 }
