Proxies' names are stored one by one: a fleet that joins costs its number on disk too

Cause: each turn in which proxies joined wrote all names in one record; 60,000 that join took 5.3 s and two cores, half of it in encoding that record.

Change: a record for each number; an earlier store's one record is taken apart when it is opened.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -45,7 +45,6 @@
 	operated  tables.Step // the newest version by an operator
 	cause     cause
 	onlookers map[Ticket]onlooker
-	numbered  bool     // proxies got numbers in this turn
 	custody   *custody // nil: all slices are ours
 	known     *known
 	lost      logic.Millis // since when the list does not answer; 0: it does
@@ -232,9 +231,9 @@
 			}
 		}
 	}
-	if c.numbered { // once a turn: a whole fleet may come in one
-		c.numbered = false
-		c.out = append(c.out, Persist{Change{Line: c.line, Proxies: maps.Clone(c.names.proxies)}})
+	if named := c.names.fresh; len(named) > 0 { // once a turn: a whole fleet may come in one
+		c.names.fresh = map[logic.ProxyID]string{}
+		c.out = append(c.out, Persist{Change{Line: c.line, Named: named}})
 	}
 	for _, m := range c.channel.Left(now) {
 		c.arrive(now, m)
--- a/internal/control/names.go
+++ b/internal/control/names.go
@@ -19,13 +19,14 @@
 	zones   map[string]logic.ZoneID
 	cells   map[string]logic.CellID
 	most    int
-	free    logic.ProxyID // no lower number is
+	free    logic.ProxyID            // no lower number is
+	fresh   map[logic.ProxyID]string // that got numbers and are yet to be stored
 }
 
 func newNames(zones []string, most int, saved *Saved) *names {
 	n := &names{hosts: maps.Clone(saved.Known), address: map[logic.HostID]tables.Address{},
 		proxies: maps.Clone(saved.Proxies), named: map[logic.ProxyID]string{}, zones: map[string]logic.ZoneID{},
-		cells: map[string]logic.CellID{}, most: most}
+		cells: map[string]logic.CellID{}, most: most, fresh: map[logic.ProxyID]string{}}
 	if n.hosts == nil {
 		n.hosts = map[tables.Address]KnownHost{}
 	}
@@ -74,22 +75,26 @@
 }
 
 // proxy gives a proxy its number; where all are taken, that of one that is not joined.
-func (n *names) proxy(name string, joined func(logic.ProxyID) bool) (id logic.ProxyID, changed, ok bool) {
+func (n *names) proxy(name string, joined func(logic.ProxyID) bool) (id logic.ProxyID, ok bool) {
 	if id, known := n.proxies[name]; known {
-		return id, false, true
+		return id, true
 	}
 	for ; n.free < logic.ProxyID(n.most); n.free++ {
-		if id := n.free; n.named[id] == "" {
-			n.proxies[name], n.named[id] = id, name
-			return id, true, true
+		if n.named[n.free] == "" {
+			n.number(name, n.free)
+			return n.free, true
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(n.named)) {
 		if !joined(id) {
 			delete(n.proxies, n.named[id])
-			n.proxies[name], n.named[id] = id, name
-			return id, true, true
+			n.number(name, id)
+			return id, true
 		}
 	}
-	return 0, false, false
+	return 0, false
+}
+
+func (n *names) number(name string, id logic.ProxyID) {
+	n.proxies[name], n.named[id], n.fresh[id] = id, name, name
 }
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -255,7 +255,5 @@
 	if !c.svc.ProxyNames.MatchString(name) {
 		return 0, false
 	}
-	id, changed, ok := c.names.proxy(name, func(id logic.ProxyID) bool { return c.streams[id] != nil })
-	c.numbered = c.numbered || changed
-	return id, ok
+	return c.names.proxy(name, func(id logic.ProxyID) bool { return c.streams[id] != nil })
 }
--- a/internal/control/types.go
+++ b/internal/control/types.go
@@ -137,7 +137,7 @@
 	Levels   []tables.Level
 	Bound    map[logic.ProxyID][]logic.TableID
 	Carried  map[logic.ProxyID]map[string]*tables.Table // what proxies held before the start, by route
-	Proxies  map[string]logic.ProxyID
+	Named    map[logic.ProxyID]string                   // numbers that proxies got
 	Known    map[tables.Address]KnownHost
 	List     []Listed
 }
@@ -160,7 +160,13 @@
 	replace(&s.Masked, maps.Clone(c.Masked), c.Masked != nil)
 	replace(&s.Levels, c.Levels, c.Levels != nil)
 	replace(&s.Carried, c.Carried, c.Carried != nil)
-	replace(&s.Proxies, c.Proxies, c.Proxies != nil)
+	for id, name := range c.Named {
+		maps.DeleteFunc(s.Proxies, func(_ string, has logic.ProxyID) bool { return has == id })
+		if s.Proxies == nil {
+			s.Proxies = map[string]logic.ProxyID{}
+		}
+		s.Proxies[name] = id
+	}
 	replace(&s.Known, c.Known, c.Known != nil)
 	replace(&s.List, c.List, c.List != nil)
 	replace(&s.Pinned, c.Pinned, c.Pinned != nil)
--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -76,7 +76,7 @@
 
 // record writes a step's change into the history, and every so often a snapshot.
 func record(tx *bbolt.Tx, c control.Change, keep Retention) error {
-	c.Proxies, c.Known, c.List = nil, nil, nil
+	c.Named, c.Known, c.List = nil, nil, nil
 	b, err := seal(c)
 	if err != nil {
 		return err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,7 +21,8 @@
 	meta    = []byte("meta")
 	tableOf = []byte("tables")
 	bound   = []byte("bound")
-	buckets = [][]byte{meta, tableOf, bound, history, snapshots}
+	names   = []byte("names") // of proxies, by their numbers
+	buckets = [][]byte{meta, tableOf, bound, names, history, snapshots}
 )
 
 // Store is an open file.
@@ -49,7 +50,7 @@
 		if tx.Bucket(meta).Get([]byte("line")) == nil {
 			return put(tx.Bucket(meta), "line", tables.Line(rand.Uint64()))
 		}
-		return nil
+		return together(tx)
 	})
 	if err != nil {
 		db.Close()
@@ -60,6 +61,25 @@
 
 func (s *Store) Close() error { return s.db.Close() }
 
+// together takes apart the one record that an earlier version kept all proxies' names in: a fleet that joins writes each once, and
+// not all of them with each.
+func together(tx *bbolt.Tx) error {
+	b := tx.Bucket(meta).Get([]byte("proxies"))
+	if b == nil {
+		return nil
+	}
+	var all map[string]logic.ProxyID
+	if err := unseal("meta/proxies", b, &all); err != nil {
+		return offer(tx, err, math.MaxUint64)
+	}
+	for name, id := range all {
+		if err := put(tx.Bucket(names), strconv.Itoa(int(id)), name); err != nil {
+			return err
+		}
+	}
+	return tx.Bucket(meta).Delete([]byte("proxies"))
+}
+
 func put(b *bbolt.Bucket, key string, v any) error {
 	text, err := seal(v)
 	if err != nil {
@@ -84,7 +104,7 @@
 	saved.Tables = map[logic.TableID]*tables.Table{}
 	saved.Bound = map[logic.ProxyID][]logic.TableID{}
 	for key, to := range map[string]any{"line": &saved.Line, "step": &saved.Step, "at": &saved.At,
-		"masked": &saved.Masked, "levels": &saved.Levels, "carried": &saved.Carried, "proxies": &saved.Proxies,
+		"masked": &saved.Masked, "levels": &saved.Levels, "carried": &saved.Carried,
 		"known": &saved.Known, "list": &saved.List, "pinned": &saved.Pinned} {
 		if b := tx.Bucket(meta).Get([]byte(key)); b != nil {
 			if err := unseal("meta/"+key, b, to); err != nil {
@@ -107,6 +127,19 @@
 	if err != nil {
 		return saved, err
 	}
+	saved.Proxies = map[string]logic.ProxyID{}
+	err = tx.Bucket(names).ForEach(func(k, b []byte) error {
+		var name string
+		if err := unseal("names/"+string(k), b, &name); err != nil {
+			return offer(tx, err, math.MaxUint64)
+		}
+		n, err := strconv.Atoi(string(k))
+		saved.Proxies[name] = logic.ProxyID(n)
+		return err
+	})
+	if err != nil {
+		return saved, err
+	}
 	return saved, tx.Bucket(bound).ForEach(func(k, b []byte) error {
 		var by []logic.TableID
 		if err := unseal("bound/"+string(k), b, &by); err != nil {
@@ -147,7 +180,7 @@
 		set bool
 	}{{"step", c.Step, c.Step > 0}, {"at", c.At, c.Step > 0}, {"masked", c.Masked, c.Masked != nil},
 		{"levels", c.Levels, c.Levels != nil}, {"carried", c.Carried, c.Carried != nil},
-		{"proxies", c.Proxies, c.Proxies != nil}, {"known", c.Known, c.Known != nil}, {"list", c.List, c.List != nil},
+		{"known", c.Known, c.Known != nil}, {"list", c.List, c.List != nil},
 		{"pinned", c.Pinned, c.Pinned != nil}} {
 		if part.set {
 			if err := put(m, part.key, part.v); err != nil {
@@ -160,6 +193,11 @@
 			return err
 		}
 	}
+	for id, name := range c.Named {
+		if err := put(tx.Bucket(names), strconv.Itoa(int(id)), name); err != nil {
+			return err
+		}
+	}
 	for id, by := range c.Bound {
 		if err := putOrDrop(tx.Bucket(bound), int(id), by, by == nil); err != nil {
 			return err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -33,11 +33,16 @@
 			Bound: map[logic.ProxyID][]logic.TableID{2: {1, -1}}},
 		{Step: 2, At: 6, Tables: map[logic.TableID]*tables.Table{4: nil}, Bound: map[logic.ProxyID][]logic.TableID{2: nil}},
 		{List: []control.Listed{{ID: "h", Address: "a:1", State: logic.Draining, Born: 12.5}},
-			Known: map[tables.Address]control.KnownHost{"a:1": {Number: 9}}, Proxies: map[string]logic.ProxyID{"p": 3}},
+			Known: map[tables.Address]control.KnownHost{"a:1": {Number: 9}}, Named: map[logic.ProxyID]string{3: "q"}},
+		{Named: map[logic.ProxyID]string{3: "p"}}, // the number went to another
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	// A store of an earlier version kept all names in one record.
+	if err = s.db.Update(func(tx *bbolt.Tx) error { return put(tx.Bucket(meta), "proxies", map[string]int{"o": 1}) }); err != nil {
+		t.Fatal(err)
+	}
 	s.Close()
 	if s, err = Open(path, Retention{}); err != nil {
 		t.Fatal(err)
@@ -46,7 +51,7 @@
 	got, err := s.Load()
 	want := control.Saved{Line: first.Line, Step: 2, At: 6, Tables: map[logic.TableID]*tables.Table{3: table},
 		Masked: map[tables.Address]bool{"a:1": true}, Bound: map[logic.ProxyID][]logic.TableID{},
-		Proxies: map[string]logic.ProxyID{"p": 3}, Known: map[tables.Address]control.KnownHost{"a:1": {Number: 9}},
+		Proxies: map[string]logic.ProxyID{"o": 1, "p": 3}, Known: map[tables.Address]control.KnownHost{"a:1": {Number: 9}},
 		List: []control.Listed{{ID: "h", Address: "a:1", State: logic.Draining, Born: 12.5}}}
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%v\n%+v\n%+v", err, got, want)
