Memory and descriptors have a budget; accepting pauses; rehearse storm

Change: internal/budget derives from the memory that the settings state and the descriptors that the system gives how many connections may be open, how much clients may hold together, and at what heap nobody new comes in; where it is too much those go that hold most. The listeners pause by netpoll's own way and log it. vetchwood rehearse storm plays storms by made-up proxies amid deaths, a deploy and a killed director.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"vetchwood/internal/budget"
 	"vetchwood/internal/control"
 	"vetchwood/internal/director"
 	"vetchwood/internal/lease"
@@ -45,12 +46,21 @@
 		d.Record(holder.Record)
 		d.Peers(peers(holder, d, log))
 	}
+	ledger, err := memory(ctx, s)
+	if err != nil {
+		return err
+	}
 	front, err := longpoll.Listen(s.Listen, d.Entrance(0), s.Front, log)
 	if err != nil {
 		return fmt.Errorf("listen %s: %w", s.Listen, err)
 	}
 	fronts := []director.Front{front}
 	var second *mqtt.Server
+	ledger.Cuts(func(c budget.Client) {
+		if front.Cut(c); second != nil {
+			second.Cut(c)
+		}
+	})
 	if s.MQTT != nil {
 		if second, err = mqtt.Listen(s.MQTT.Listen, d.Entrance(1), s.MQTT.Limits, log); err != nil {
 			front.Close()
@@ -63,7 +73,7 @@
 	defer cancel()
 	failed := make(chan error, 4)
 	if s.Admin != "" {
-		admin, err := serveAdmin(s.Admin, d, front, second, st, holder)
+		admin, err := serveAdmin(s.Admin, d, front, second, st, holder, ledger)
 		if err != nil {
 			front.Close()
 			return fmt.Errorf("admin %s: %w", s.Admin, err)
--- /dev/null
+++ b/internal/daemon/memory.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"runtime/metrics"
+	"syscall"
+	"time"
+
+	"vetchwood/internal/budget"
+	"vetchwood/internal/settings"
+)
+
+// memory sets up what the process may use: the collector's limit lies under the memory that the settings state, so that it works
+// harder before that is reached, and is let be while there is room.
+func memory(ctx context.Context, s *settings.Running) (*budget.Ledger, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return nil, fmt.Errorf("descriptors: %w", err)
+	}
+	ledger := budget.New(budget.Means{Memory: s.Memory, Descriptors: int(min(files.Cur, 1<<30))})
+	debug.SetMemoryLimit(s.Memory / 100 * 90)
+	debug.SetGCPercent(200)
+	s.Front.Budget = ledger
+	if s.MQTT != nil {
+		s.MQTT.Limits.Budget = ledger
+	}
+	go func() {
+		sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+		tick := time.NewTicker(100 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			metrics.Read(sample)
+			ledger.Heap(int64(sample[0].Value.Uint64()))
+		}
+	}()
+	return ledger, nil
+}
--- a/internal/load/line.go
+++ b/internal/load/line.go
@@ -12,9 +12,10 @@
 
 // asked is a request that is yet to be answered.
 type asked struct {
-	due  time.Duration
-	kind Kind
-	sec  *Second
+	due   time.Duration
+	kind  Kind
+	sec   *Second
+	proxy uint64
 }
 
 // fate is what became of one.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -175,13 +175,13 @@
 	r.mu.Lock()
 	sec.Asked++
 	r.mu.Unlock()
-	a := asked{due, st.Kind, sec}
+	a := asked{due, st.Kind, sec, n % uint64(st.Proxies)}
 	if r.inHand.Add(1) > mostInHand {
 		r.ended(nil, fate{asked: a})
 		return
 	}
 	l := r.lines[n%uint64(st.Connections)]
-	text := r.word(st.Kind, n%uint64(st.Proxies))
+	text := r.word(st.Kind, a.proxy)
 	l.mu.Lock()
 	fresh := l.conn == nil
 	l.mu.Unlock()
@@ -209,9 +209,8 @@
 	var text []byte
 	all := make([]asked, n)
 	for i := range all {
-		all[i] = asked{due, st.Kind, sec}
-		name := fmt.Sprintf(r.script.Names, r.serial.Add(1)%uint64(st.Proxies))
-		text = request(text, st.Kind, name, r.script.Zone, *r.tag.Load())
+		all[i] = asked{due, st.Kind, sec, r.serial.Add(1) % uint64(st.Proxies)}
+		text = request(text, st.Kind, fmt.Sprintf(r.script.Names, all[i].proxy), r.script.Zone, *r.tag.Load())
 	}
 	r.inHand.Add(int64(n))
 	r.mu.Lock()
@@ -225,7 +224,7 @@
 	due := time.Since(r.began)
 	sec := r.second(due, st.Name)
 	r.inHand.Add(1)
-	go r.lines[i].send(r.word(Waits, uint64(i)), asked{due, Waits, sec})
+	go r.lines[i].send(r.word(Waits, uint64(i)), asked{due, Waits, sec, uint64(i)})
 }
 
 // ended counts a request that is answered, or has failed; in a flood, or while polls wait, the next follows.
@@ -236,6 +235,9 @@
 		r.told(l, f)
 		return
 	}
+	if f.status == http.StatusNotFound && f.kind == Reports {
+		r.known.Delete(fmt.Sprintf(r.script.Names, f.proxy)) // it has left meanwhile, and polls again first
+	}
 	if f.etag != "" && (f.status == http.StatusOK || f.status == http.StatusIMUsed) {
 		r.tag.Store(&f.etag)
 	}
@@ -306,7 +308,7 @@
 	}
 	name := fmt.Sprintf(r.script.Names, i)
 	r.inHand.Add(1)
-	l.send(request(make([]byte, 0, 256), Waits, name, r.script.Zone, f.etag), asked{time.Since(r.began), Waits, sec})
+	l.send(request(make([]byte, 0, 256), Waits, name, r.script.Zone, f.etag), asked{time.Since(r.began), Waits, sec, uint64(i)})
 }
 
 // ordered is when a version was, by a difference that leads to it: Unix milliseconds.
--- a/internal/longpoll/ask.go
+++ b/internal/longpoll/ask.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/inflow"
@@ -129,6 +130,9 @@
 	if q.Proxy != "" && q.Proxy != proxy {
 		return bad(http.StatusBadRequest, "load stats: node.id: %.60q is not the proxy of the path", q.Proxy)
 	}
+	if !s.limits.Budget.Takes() {
+		return later(5 * time.Second)
+	}
 	if wait := s.core.Admit(inflow.Reports, proxy); wait > 0 {
 		return later(wait)
 	}
@@ -139,6 +143,9 @@
 
 // look hands on the poll of one that looks on.
 func (s *Server) look(p *peer, r *request) (wrong *problem) {
+	if !s.limits.Budget.Takes() {
+		return later(5 * time.Second)
+	}
 	if wait := s.core.Admit(inflow.Looks, ""); wait > 0 {
 		return later(wait)
 	}
--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"vetchwood/internal/budget"
 	"vetchwood/internal/control"
 	"vetchwood/internal/inflow"
 	"vetchwood/internal/nets"
@@ -40,6 +41,8 @@
 	Idle               time.Duration // without a request
 	Write              time.Duration // for one answer
 	LongestWait        logic.Millis
+	// Budget is what all fronts share; nil: any.
+	Budget *budget.Ledger
 }
 
 // Server is one listening socket.
@@ -49,7 +52,8 @@
 	limits Limits
 	log    *slog.Logger
 	asked  sync.Map // control.Ticket -> *peer, for what is no poll
-	peers  sync.Map // netpoll.Connection -> *peer
+	peers  sync.Map // budget.Client -> *peer
+	serial atomic.Uint64
 	open   atomic.Int64
 	failed atomic.Uint64
 	done   chan struct{}
@@ -57,7 +61,9 @@
 
 // peer is one connection.
 type peer struct {
+	id     budget.Client
 	conn   netpoll.Connection
+	holds  int // bytes that the budget knows of
 	mu     sync.Mutex
 	in     []byte
 	ticket control.Ticket // of the request that is being answered; 0: none
@@ -75,9 +81,12 @@
 
 // Listen opens the socket.
 func Listen(address string, core Core, limits Limits, log *slog.Logger) (*Server, error) {
+	if limits.Budget == nil {
+		limits.Budget = budget.New(budget.Unlimited)
+	}
 	s := &Server{core: core, limits: limits, log: log, done: make(chan struct{})}
 	var err error
-	s.Socket, err = nets.Listen(address, s.read, s.accept, limits.Write)
+	s.Socket, err = nets.Listen(address, s.read, s.accept, limits.Write, limits.Budget, log)
 	return s, err
 }
 
@@ -96,16 +105,19 @@
 // Close closes the socket and all connections.
 func (s *Server) Close() error {
 	close(s.done)
-	return s.Socket.Close(&s.peers)
+	return s.Socket.Close(func(each func(netpoll.Connection)) {
+		s.peers.Range(func(_, v any) bool { each(v.(*peer).conn); return true })
+	})
 }
 
 func (s *Server) accept(c netpoll.Connection) context.Context {
-	p := &peer{conn: c, since: time.Now()}
+	p := &peer{id: budget.Client(s.serial.Add(1) << 1), conn: c, since: time.Now()}
 	s.open.Add(1)
-	s.peers.Store(c, p)
+	s.peers.Store(p.id, p)
 	c.AddCloseCallback(func(netpoll.Connection) error {
-		s.peers.Delete(c)
+		s.peers.Delete(p.id)
 		s.open.Add(-1)
+		s.limits.Budget.Closed(p.id)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.gone = true
@@ -153,9 +165,21 @@
 		p.in = append([]byte(nil), b...)
 	}
 	r.Release()
+	if len(p.in) != p.holds && !p.gone {
+		p.holds = len(p.in)
+		s.limits.Budget.Hold(p.id, int64(p.holds))
+	}
 	return nil
 }
 
+// Cut closes a client's connection, if it is of this front.
+func (s *Server) Cut(c budget.Client) {
+	if v, open := s.peers.Load(c); open {
+		s.log.Warn("client.cut", "why", "it holds more of the director's memory than the others, and there is no more")
+		go v.(*peer).conn.Close()
+	}
+}
+
 // readers keep the memory of requests that have been read for the next.
 var readers = sync.Pool{New: func() any { return new(request) }}
 
--- a/internal/mqtt/server.go
+++ b/internal/mqtt/server.go
@@ -15,6 +15,7 @@
 	"github.com/cloudwego/netpoll"
 	"github.com/eclipse/paho.golang/packets"
 
+	"vetchwood/internal/budget"
 	"vetchwood/internal/control"
 	"vetchwood/internal/inflow"
 	"vetchwood/internal/lrs"
@@ -41,6 +42,8 @@
 	KeepAlive   time.Duration // at most; a client that asks for more, or for none, is told this
 	Write       time.Duration
 	LongestWait logic.Millis
+	// Budget is what all fronts share; nil: any.
+	Budget *budget.Ledger
 }
 
 // Server is one listening socket.
@@ -50,7 +53,6 @@
 	limits Limits
 	log    *slog.Logger
 	peers  sync.Map // subscribe.Conn -> *peer
-	conns  sync.Map // netpoll.Connection -> *peer
 	serial atomic.Uint64
 	open   atomic.Int64
 	failed atomic.Uint64
@@ -75,6 +77,8 @@
 	keepAlive time.Duration
 	heard     time.Time // of the last packet
 
+	half, unsent atomic.Int64 // bytes of packets that are half read, or wait to be written behind others
+
 	outMu   sync.Mutex
 	out     [][]byte
 	writing bool
@@ -86,10 +90,13 @@
 
 // Listen opens the socket.
 func Listen(address string, core Core, limits Limits, log *slog.Logger) (*Server, error) {
+	if limits.Budget == nil {
+		limits.Budget = budget.New(budget.Unlimited)
+	}
 	s := &Server{core: core, limits: limits, log: log, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	s.figures.Store(&subscribe.Figures{})
 	var err error
-	s.Socket, err = nets.Listen(address, s.read, s.accept, limits.Write)
+	s.Socket, err = nets.Listen(address, s.read, s.accept, limits.Write, limits.Budget, log)
 	return s, err
 }
 
@@ -111,7 +118,9 @@
 		v.(*peer).send(s, pack(packets.DISCONNECT, &packets.Disconnect{ReasonCode: byte(serverShuttingDown), Properties: &packets.Properties{}}), true)
 		return true
 	})
-	return s.Socket.Close(&s.conns)
+	return s.Socket.Close(func(each func(netpoll.Connection)) {
+		s.peers.Range(func(_, v any) bool { each(v.(*peer).conn); return true })
+	})
 }
 
 type peerKey struct{}
@@ -120,11 +129,10 @@
 	p := &peer{conn: c, id: subscribe.Conn(s.serial.Add(1)), heard: time.Now(), keepAlive: s.limits.Connect}
 	s.open.Add(1)
 	s.peers.Store(p.id, p)
-	s.conns.Store(c, p)
 	c.AddCloseCallback(func(netpoll.Connection) error {
 		s.open.Add(-1)
 		s.peers.Delete(p.id)
-		s.conns.Delete(c)
+		s.limits.Budget.Closed(p.client())
 		p.writeMu.Lock()
 		p.shut = true
 		p.writeMu.Unlock()
@@ -152,6 +160,11 @@
 	}
 	p.in = append(p.in, b...)
 	r.Release()
+	defer func() {
+		if was := p.half.Swap(int64(len(p.in))); was != int64(len(p.in)) && !p.gone {
+			s.limits.Budget.Hold(p.client(), p.half.Load()+p.unsent.Load())
+		}
+	}()
 	for len(p.in) > 0 && !p.gone {
 		n, wrong := length(p.in, s.limits.MostPacket)
 		if wrong == nil && (n == 0 || len(p.in) < n) {
@@ -175,6 +188,17 @@
 	return nil
 }
 
+// client is the peer's name in the budget.
+func (p *peer) client() budget.Client { return budget.Client(p.id)<<1 | 1 }
+
+// Cut closes a client's connection, if it is of this front.
+func (s *Server) Cut(c budget.Client) {
+	if v, open := s.peers.Load(subscribe.Conn(c >> 1)); open && c&1 == 1 {
+		s.log.Warn("client.cut", "why", "it holds more of the director's memory than the others, and there is no more")
+		go v.(*peer).conn.Close()
+	}
+}
+
 // breach ends a connection that broke the rules.
 func (s *Server) breach(p *peer, wrong *fault) {
 	s.failed.Add(1)
@@ -458,6 +482,14 @@
 	if b != nil {
 		p.out = append(p.out, b)
 	}
+	if p.writing && len(p.out) > 1 { // it reads more slowly than it is sent
+		waits := int64(0)
+		for _, x := range p.out {
+			waits += int64(len(x))
+		}
+		p.unsent.Store(waits)
+		s.limits.Budget.Hold(p.client(), p.half.Load()+waits)
+	}
 	if p.closing = p.closing || last; len(p.out) > mostWaiting {
 		p.ended = true
 		go p.conn.Close()
@@ -465,11 +497,11 @@
 	}
 	if !p.writing {
 		p.writing = true
-		nets.Go(func() { p.drain() })
+		nets.Go(func() { p.drain(s) })
 	}
 }
 
-func (p *peer) drain() {
+func (p *peer) drain(s *Server) {
 	for {
 		p.outMu.Lock()
 		all := p.out
@@ -478,6 +510,9 @@
 			closing := p.closing && !p.ended
 			p.ended = p.ended || p.closing
 			p.outMu.Unlock()
+			if p.unsent.Swap(0) > 0 {
+				s.limits.Budget.Hold(p.client(), p.half.Load())
+			}
 			if closing {
 				p.conn.Close()
 			}
--- a/internal/nets/socket.go
+++ b/internal/nets/socket.go
@@ -2,13 +2,47 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
 	"net"
-	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 )
 
+// Gate says whether one more connection may be accepted, and hears of each that was. Began says that it is shut now.
+type Gate interface {
+	May() (may, began bool)
+	Opened()
+}
+
+// gated pauses accepting where its gate is shut or the system has no more descriptors: netpoll takes the listener out of its loop
+// then, and looks at it again after up to a second. Those who connect wait in the kernel's queue meanwhile.
+type gated struct {
+	netpoll.Listener
+	gate Gate
+	log  *slog.Logger
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	if may, began := g.gate.May(); !may {
+		if began {
+			g.log.Warn("accept.paused", "listen", g.Addr().String(), "why", "as many connections are open as may be, or memory is short")
+		}
+		return nil, syscall.EMFILE
+	}
+	c, err := g.Listener.Accept()
+	switch {
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		g.log.Error("accept.paused", "listen", g.Addr().String(), "why", "the system has no more descriptors")
+		return nil, syscall.EMFILE
+	case c != nil:
+		g.gate.Opened()
+	}
+	return c, err
+}
+
 // Socket is a listening socket with its loop, as both fronts have one.
 type Socket struct {
 	ln   netpoll.Listener
@@ -16,11 +50,12 @@
 }
 
 // Listen opens one. Accept hears of each connection before anything is read from it, read of what has come.
-func Listen(address string, read netpoll.OnRequest, accept netpoll.OnPrepare, write time.Duration) (*Socket, error) {
-	ln, err := netpoll.CreateListener("tcp", address)
+func Listen(address string, read netpoll.OnRequest, accept netpoll.OnPrepare, write time.Duration, gate Gate, log *slog.Logger) (*Socket, error) {
+	plain, err := netpoll.CreateListener("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	ln := &gated{plain, gate, log}
 	loop, err := netpoll.NewEventLoop(read, netpoll.WithOnPrepare(accept), netpoll.WithWriteTimeout(write))
 	if err != nil {
 		ln.Close()
@@ -35,12 +70,12 @@
 // Serve answers until Close.
 func (s *Socket) Serve() error { return s.loop.Serve(s.ln) }
 
-// Close closes the socket and all connections, which are the keys of a map.
-func (s *Socket) Close(conns *sync.Map) error {
+// Close closes the socket and all connections.
+func (s *Socket) Close(conns func(each func(netpoll.Connection))) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	err := s.loop.Shutdown(ctx)
-	conns.Range(func(k, _ any) bool { k.(netpoll.Connection).Close(); return true })
+	conns(func(c netpoll.Connection) { c.Close() })
 	if ctx.Err() != nil {
 		return nil // it waits for idle connections only, and ours are closed above
 	}
--- a/internal/rehearse/directors.go
+++ b/internal/rehearse/directors.go
@@ -53,8 +53,8 @@
 		d.file, d.log = filepath.Join(s.dir, d.name+".hcl"), filepath.Join(s.dir, d.name+".log")
 	}
 	fill := map[string]string{"Store": filepath.Join(s.dir, "director.db"), "Roster": s.registry.URL(), "Name": d.name, "Custody": "", "MQTT": "",
-		"Listen": s.script.Listen, "Admin": s.script.Admin, "Proxies": strconv.Itoa(max(24, s.script.Fleet.Proxies)),
-		"Lines": strconv.Itoa(8000 * max(1, s.script.Fleet.Proxies/12))}
+		"Listen": s.script.Listen, "Admin": s.script.Admin, "Proxies": strconv.Itoa(max(24, s.script.Fleet.Proxies+s.script.Fleet.Phantoms)),
+		"Lines": strconv.Itoa(8000 * max(1, (s.script.Fleet.Proxies+s.script.Fleet.Phantoms)/12))}
 	if s.script.Fleet.Directors > 1 {
 		if d.door, err = s.registry.Open(d.name, uint64(i)); err != nil {
 			return err
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -76,6 +76,7 @@
 	Folder       string   `json:"folder,omitempty"`
 	Rollbacks    []Undone `json:"rollbacks,omitempty"`
 	Handed       []Handed `json:"handed,omitempty"`
+	Storms       []Storm  `json:"storms,omitempty"`
 }
 
 func play(ctx context.Context, script *Script, q Request) (v judge.Verdict, extra extras, err error) {
@@ -151,7 +152,7 @@
 	for _, d := range s.directors {
 		extra.MostWaiting, extra.MostMessages = max(extra.MostWaiting, d.most), max(extra.MostMessages, d.dense)
 	}
-	extra.Rollbacks, extra.Handed = s.rollbacks, s.handed()
+	extra.Rollbacks, extra.Handed, extra.Storms = s.rollbacks, s.handed(), s.storms
 	if v = s.book.Judge(s.terms(from, until)); !v.Kept() || q.Keep != "" {
 		extra.Folder = dir
 	}
@@ -271,6 +272,10 @@
 		fmt.Fprintf(w, "%s %s\t%d slices\twithout a holder for %.0f ms at most; every proxy had the next one's word within %.0f ms\n",
 			h.Trouble, h.Director, h.Slices, h.Longest, h.Word)
 	}
+	for _, x := range extra.Storms {
+		fmt.Fprintf(w, "storm of %s\t%d asked\t%d answered, %d sent away, %d failed; 99 in 100 within %.0f ms in its worst second\n", x.Ask, x.Asked,
+			x.Answered, x.Away, x.Failed, x.SlowMs)
+	}
 	fmt.Fprintf(w, "hosts fallen\t%d\t\n", v.Falls)
 	if extra.Folder != "" {
 		fmt.Fprintf(w, "kept in\t%s\t\n", extra.Folder)
--- a/internal/rehearse/script.go
+++ b/internal/rehearse/script.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 	"time"
 
+	"vetchwood/internal/load"
 	"vetchwood/internal/settings"
 )
 
@@ -33,6 +35,7 @@
 	Hosts, Cores, Queue, PerCell, Proxies int
 	Directors                             int
 	Learns                                bool   // a director that starts asks the others
+	Phantoms                              int    // proxies that storms make up; they poll and carry nothing
 	Front                                 string // poll, mqtt or mixed: every other proxy
 	ListDelay                             time.Duration
 }
@@ -59,6 +62,9 @@
 	Director              int // which, from 1
 	Times                 float64
 	Part                  float64
+	Ask                   load.Kind // what a storm asks
+	Rate                  float64   // requests a second
+	Burst                 int       // at once, as it begins
 }
 
 // kinds of trouble and what each needs.
@@ -82,6 +88,7 @@
 	"leases_away":     {"last", "several"},
 	"restart_proxies": {"proxies", "last"},
 	"stale_proxies":   {"proxies", "last"},
+	"storm":           {"last", "storm"},
 	"rollback":        {},
 	"release":         {},
 }
@@ -127,7 +134,7 @@
 	s.Fleet = Fleet{Hosts: f.Whole("hosts", 0, 1, 1000), Cores: f.Whole("cores", 4, 1, 64), Queue: f.Whole("queue", 16, 0, 10000),
 		PerCell: f.Whole("per_cell", 2, 1, 100), Proxies: f.Whole("proxies", 0, 1, 5000),
 		Directors: f.Whole("directors", 1, 1, 5), Learns: f.Truth("learn", true),
-		Front: f.Text("front", "poll", "poll", "mqtt", "mixed"), ListDelay: f.Span("list_delay", 0, 0, time.Minute)}
+		Phantoms: f.Whole("phantoms", 0, 0, 20000), Front: f.Text("front", "poll", "poll", "mqtt", "mixed"), ListDelay: f.Span("list_delay", 0, 0, time.Minute)}
 	f.Done()
 	l := r.One("load", true)
 	s.Load = Load{From: l.Number("calls_per_second", 0, 0, 1e5), Peak: l.Number("peak", 0, 0, 1e5),
@@ -171,6 +178,12 @@
 				t.Drain = in.Span("drain", -1, time.Millisecond, time.Hour)
 			case "times":
 				t.Times = in.Number("times", 2, 1, 100)
+			case "storm":
+				t.Ask = load.Kind(in.Text("ask", settings.Needed, string(load.New), string(load.Polls), string(load.Reports)))
+				t.Rate, t.Burst = in.Number("rate", math.NaN(), 1, 1e6), in.Whole("burst", 0, 0, 1e5)
+				if s.Fleet.Phantoms == 0 {
+					in.Fail("", "takes a fleet with phantoms")
+				}
 			case "part":
 				t.Part = in.Number("part", 0.2, 0, 1)
 			}
--- a/internal/rehearse/stage.go
+++ b/internal/rehearse/stage.go
@@ -52,6 +52,7 @@
 	routes    map[string]tables.Route
 	start     tables.Step // the version at the day's start
 	rollbacks []Undone
+	storms    []Storm
 	hands     []Handed
 }
 
@@ -507,6 +508,8 @@
 				return err
 			}
 		}
+	case "storm":
+		return s.storm(ctx, t, say)
 	case "rollback":
 		return s.rollback(ctx, say)
 	case "release":
--- a/internal/settings/director.go
+++ b/internal/settings/director.go
@@ -22,6 +22,7 @@
 	Name          string
 	Listen, Admin string
 	StorePath     string
+	Memory        int64 // that the process may use
 	Service       control.Service
 	Front         longpoll.Limits
 	Roster        Roster
@@ -90,6 +91,7 @@
 	if out.StorePath = r.Text("store", Needed); !filepath.IsAbs(out.StorePath) {
 		out.StorePath = filepath.Join(filepath.Dir(path), out.StorePath)
 	}
+	out.Memory = int64(r.Size("memory", 1<<30, 64<<20, 1<<40))
 	zone := r.Text("zone", "")
 	out.Service.Zones = []string{zone} // its place is found once the service's zones are known
 	r.Done()
