Only a proxy that would have to join is sent away; a late machine is no overload

And to answer a proxy that has joined costs no more than to refuse it.

Change: a delay counts only where 64 things or more wait; polls of proxies that have joined are never shed. The loop tells how late it came to the module's own time. A build tag, opendoor, leaves admission out, to measure against.

--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -98,6 +98,8 @@
 	counter("requests_malformed", "Requests refused for their form.", func(control.Figures) uint64 { return front.Failed() })
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vetchwood_connections", Help: "Open connections."},
 		func() float64 { return float64(front.Open()) }))
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vetchwood_beat_latest_seconds",
+		Help: "The latest that the decisions were called after their own time."}, func() float64 { return d.LatestBeat().Seconds() }))
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vetchwood_turn_longest_seconds",
 		Help: "The longest that the loop was busy with one batch."}, func() float64 { return d.LongestTurn().Seconds() }))
 	for name, of := range map[string]struct {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -55,6 +55,7 @@
 	opens  tables.Step // the version that this start begins with
 	seen   atomic.Pointer[control.Figures]
 	slow   atomic.Int64 // longest turn of the loop, in microseconds
+	late   atomic.Int64 // latest that the core's own time came, in microseconds
 
 	line   tables.Line
 	record func(control.Record)
@@ -161,7 +162,7 @@
 	}
 	d.doorMu.Lock()
 	defer d.doorMu.Unlock()
-	d.door.Turn(time.Since(d.epoch), waited)
+	d.door.Turn(time.Since(d.epoch), waited, len(in))
 }
 
 // Admit says after how long a request that is no poll may come again, where its client asks too often or the director has more to do
@@ -180,7 +181,7 @@
 }
 
 func (d *Director) shed(k inflow.Kind) time.Duration {
-	if k >= inflow.Polls {
+	if k >= inflow.Polls || openDoor {
 		return 0
 	}
 	d.mu.Lock()
@@ -229,6 +230,9 @@
 	return time.Duration(d.slow.Load()) * time.Microsecond
 }
 
+// LatestBeat is the latest that the core was called after its own time.
+func (d *Director) LatestBeat() time.Duration { return time.Duration(d.late.Load()) * time.Microsecond }
+
 // Run turns until the context ends. What was ordered by then is stored.
 func (d *Director) Run(ctx context.Context, fronts ...Front) error {
 	d.fronts = fronts
@@ -240,7 +244,8 @@
 	d.first = nil
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	more := false // something stayed from the last turn
+	more := false          // something stayed from the last turn
+	due := logic.Millis(0) // when the core is to be called at the latest
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -266,7 +271,12 @@
 		d.mu.Unlock()
 		began := time.Now()
 		d.turned(in, began.Sub(since)-batchFor)
-		d.carryOut(ctx, d.core.Handle(d.Now(), in))
+		now := d.Now()
+		if late := int64(1000 * float64(now-due)); due > 0 && late > d.late.Load() {
+			d.late.Store(late)
+		}
+		d.carryOut(ctx, d.core.Handle(now, in))
+		due = d.core.Wake()
 		f := d.core.Figures()
 		d.seen.Store(&f)
 		if took := time.Since(began).Microseconds(); took > d.slow.Load() {
--- /dev/null
+++ b/internal/director/door_open.go
@@ -0,0 +1,5 @@
+//go:build opendoor
+
+package director
+
+const openDoor = true
--- a/internal/director/lots.go
+++ b/internal/director/lots.go
@@ -82,18 +82,20 @@
 	return a, answered
 }
 
-// Poll takes a poll. What can be answered at once is returned; the rest goes to the front later. One that asks too often, or that
-// is new while there is too much to do, is told after how long to come again.
+// Poll takes a poll. What can be answered at once is returned; the rest goes to the front later. One that asks too often is told after
+// how long to come again; and so is one that would have to join, while there is too much to do. To answer a proxy that has joined
+// costs no more than to send it away.
 func (d *Director) Poll(p control.Poll) (a control.Answer, answered bool, later time.Duration) {
 	<-d.running
 	b := d.bay(p.Proxy)
 	b.mu.Lock()
 	in, later := b.allow.Admit(time.Since(d.epoch), p.Proxy)
+	joined := b.lot.Knows(p.Proxy)
 	b.mu.Unlock()
-	if !in {
+	if !in && !openDoor {
 		return a, false, later
 	}
-	if len(p.Held) == 0 {
+	if !joined {
 		if later = d.shed(inflow.NewPolls); later > 0 {
 			return a, false, later
 		}
--- a/internal/inflow/inflow.go
+++ b/internal/inflow/inflow.go
@@ -49,8 +49,16 @@
 
 func NewDoor(chance func() float64) *Door { return &Door{chance: chance} }
 
-// Turn tells how long what was handled now had waited at most. The least of an interval counts: a queue that stands.
-func (d *Door) Turn(now, waited time.Duration) {
+// short is a queue of a turn's smallest part. Where no more than that waits, nobody needs to be sent away, however late it is: the
+// delay is the machine's, as where others take its processors, and to shed would not make it less.
+const short = 64
+
+// Turn tells how long what was handled now had waited at most, and how much it was. The least of an interval counts: a queue
+// that stands.
+func (d *Door) Turn(now, waited time.Duration, length int) {
+	if length < short {
+		waited = 0
+	}
 	if !d.seen || waited < d.least {
 		d.least, d.seen = waited, true
 	}
@@ -73,7 +81,7 @@
 // and tells of it only then.
 func (d *Door) shed(k Kind, q Queue) float64 {
 	press := d.press
-	if over := float64(q.Standing)/float64(target) - 1; over > 2 {
+	if over := float64(q.Standing)/float64(target) - 1; over > 2 && q.Length >= short {
 		press = max(press, 0.2*over)
 	}
 	if q.Length >= mostQueued {
--- a/internal/inflow/inflow_test.go
+++ b/internal/inflow/inflow_test.go
@@ -31,7 +31,7 @@
 		}
 		queue = max(0, queue-able/1000)
 		waited := time.Duration(queue / able * float64(time.Second))
-		if d.Turn(now, waited); last {
+		if d.Turn(now, waited, int(queue)); last {
 			wait = max(wait, waited)
 		}
 	}
@@ -60,6 +60,19 @@
 	}
 }
 
+// A machine whose processors others take: the loop comes to its turn late, with little to do. Nobody is sent away for it.
+func TestALateMachineIsNoOverload(t *testing.T) {
+	d := NewDoor(rand.New(rand.NewPCG(5, 6)).Float64)
+	for now := time.Duration(0); now < 10*time.Second; now += 60 * time.Millisecond {
+		for n := range 30 {
+			if in, _ := d.Admit(now, NewPolls, Queue{time.Duration(n) * 2 * time.Millisecond, n}); !in {
+				t.Fatalf("sent away at %v with %d that wait", now, n)
+			}
+		}
+		d.Turn(now, 60*time.Millisecond, 30)
+	}
+}
+
 // One broken client is limited, and no other feels it; a storm is called back spread over seconds.
 func TestClientsAndSpread(t *testing.T) {
 	r := rand.New(rand.NewPCG(3, 4))
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -183,9 +183,9 @@
 	l := r.lines[n%uint64(st.Connections)]
 	text := r.word(st.Kind, a.proxy)
 	l.mu.Lock()
-	fresh := l.conn == nil
+	alone := l.conn == nil || len(l.hand) > 8
 	l.mu.Unlock()
-	if fresh { // it has to be opened, which must not hold up the others
+	if alone { // it has to be opened, or what was sent on it may not be read yet, which must not hold up the others
 		go l.send(text, a)
 		return
 	}
@@ -245,7 +245,7 @@
 	switch {
 	case f.status == http.StatusServiceUnavailable:
 		f.sec.Away++
-	case f.status > 0 && f.status < 400:
+	case f.status > 0 && f.status < 400 && took <= r.script.Limit:
 		f.sec.Answered++
 		f.sec.times.RecordValue(max(1, took.Microseconds()))
 	default:
--- a/internal/park/lot.go
+++ b/internal/park/lot.go
@@ -81,6 +81,12 @@
 
 func (l *Lot) say(o any) { l.said.Core = append(l.said.Core, o) }
 
+// Knows says whether a proxy has joined: its poll is answered here, and does not cost the core anything.
+func (l *Lot) Knows(proxy string) bool {
+	s := l.seats[proxy]
+	return s != nil && s.doc != nil
+}
+
 // Poll takes a poll.
 func (l *Lot) Poll(now logic.Millis, p Poll) Said {
 	l.figures.Polls++
