--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -303,7 +303,11 @@
 	c.world = d.is
 	s := &step{world: d.is, changed: slices.Collect(maps.Keys(d.change.Tables)), removes: d.removes()}
 	for _, id := range c.ids {
-		lines, concerned := d.lines[id]
+		lines, concerned := d.of, d.of > 0
+		if len(d.lines) > 0 {
+			own, its := d.lines[id]
+			lines, concerned = lines+own, concerned || its
+		}
 		if !concerned && !(d.stamped && d.all) {
 			continue
 		}
--- a/internal/control/world.go
+++ b/internal/control/world.go
@@ -32,7 +32,8 @@
 	is      *world
 	change  Change
 	fresh   map[logic.TableID]bool // tables that this step has copied already
-	lines   map[logic.ProxyID]float64
+	lines   map[logic.ProxyID]float64 // of single proxies
+	of      float64                   // of each that has joined
 	serial  logic.SerialID
 	stamped bool
 	all     bool
@@ -66,17 +67,21 @@
 	return d.is.tables[id]
 }
 
-// charge counts a line at each joined proxy concerned.
+// charge counts lines at each joined proxy concerned; nil: at all, which is not counted one by one.
 func (d *draft) charge(lines float64, concerned func(logic.ProxyID) bool) {
+	if d.wrote = true; concerned == nil {
+		d.of += lines
+		return
+	}
 	for _, id := range d.c.ids {
 		if concerned(id) {
 			d.lines[id] += lines
 		}
 	}
-	d.wrote = true
 }
 
-func everyone(logic.ProxyID) bool { return true }
+// everyone is all that have joined.
+var everyone func(logic.ProxyID) bool
 
 func (d *draft) users(t logic.TableID) func(logic.ProxyID) bool {
 	if d.c.svc.Facts.Slices > 0 || t == logic.EveryTable {
