The loop's turn no longer waits for the lots' locks; messages to all share one letter

Cause: with 9,000 proxies and a flood beside them the module's time came up to 173 ms late: each new view was set in every lot under its lock (30 to 95 ms of waiting for 32 of them), each acknowledgement moved the keys of a sorted shelf (the square of the fleet), each line was counted for each proxy.

Change: a view is shown by a pointer that lots look at before they do anything; only a removal, an opening or a lease makes all look at once. Keys that are dropped from a shelf leave it later (logic/loop.go; orders are the same). A message to all proxies is one letter, a line to all one count.

--- a/internal/channel/channel.go
+++ b/internal/channel/channel.go
@@ -20,13 +20,13 @@
 	lines   float64
 	clear   logic.Millis // when the last message leaves
 	most    float64
-	sent    map[logic.ProxyID][]logic.Millis
+	sent    [][]logic.Millis // by proxy: their numbers are small and dense
 	span    logic.Millis
 	dense   int // most messages written to one proxy within the span
 }
 
 func New(linesPerSecond float64, span logic.Millis) *Channel {
-	return &Channel{pace: linesPerSecond / 1000, span: span, sent: map[logic.ProxyID][]logic.Millis{}}
+	return &Channel{pace: linesPerSecond / 1000, span: span}
 }
 
 // Offer puts messages at the end of the queue, in their order.
@@ -42,12 +42,17 @@
 }
 
 func (c *Channel) count(now logic.Millis, p logic.ProxyID) {
+	for int(p) >= len(c.sent) {
+		c.sent = append(c.sent, nil)
+	}
 	times := c.sent[p]
-	for len(times) > 0 && now-times[0] > c.span {
-		times = times[1:]
+	over := 0
+	for over < len(times) && now-times[over] > c.span {
+		over++
 	}
-	c.sent[p] = append(times, now)
-	c.dense = max(c.dense, len(times)+1)
+	times = append(times[:copy(times, times[over:])], now)
+	c.sent[p] = times
+	c.dense = max(c.dense, len(times))
 }
 
 // Left gives the messages that have left by now, in order.
@@ -78,7 +83,9 @@
 	}
 	clear(c.waiting[len(kept):])
 	c.waiting = kept
-	delete(c.sent, p)
+	if int(p) < len(c.sent) {
+		c.sent[p] = nil
+	}
 }
 
 // Next is when the first message leaves; false if none waits.
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -302,6 +302,7 @@
 	}
 	c.world = d.is
 	s := &step{world: d.is, changed: slices.Collect(maps.Keys(d.change.Tables)), removes: d.removes()}
+	var same *letter // where all are told the same
 	for _, id := range c.ids {
 		lines, concerned := d.of, d.of > 0
 		if len(d.lines) > 0 {
@@ -314,8 +315,14 @@
 		if lines += c.svc.Facts.HeadLines; d.stamped {
 			lines++
 		}
-		s.messages = append(s.messages, channel.Message{Proxy: id, Lines: lines,
-			Body: letter{c.document(d.is, id), d.serial, d.stamped, now}})
+		l := same
+		if l == nil {
+			l = &letter{c.document(d.is, id), d.serial, d.stamped, now}
+		}
+		if c.svc.Facts.Slices > 0 {
+			same = l
+		}
+		s.messages = append(s.messages, channel.Message{Proxy: id, Lines: lines, Body: l})
 	}
 	c.unsaved = append(c.unsaved, s)
 	c.out = append(c.out, Persist{d.change})
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -19,13 +19,13 @@
 	visit   park.Visit
 	doc     *tables.Document
 	holds   tables.Step // acknowledged; 0: nothing that is known
-	owed    []letter    // that have left the channel and were not owned up to
+	owed    []*letter   // that have left the channel and were not owned up to
 	reports string      // key of the last one
 	reads   tables.Step // what was ordered when it joined, and so reads by itself
 	stands  versions.Member[logic.ProxyID]
 }
 
-// letter is the body of a message.
+// letter is the body of a message, one for all that are told the same.
 type letter struct {
 	doc     *tables.Document
 	serial  logic.SerialID
@@ -91,11 +91,11 @@
 		return
 	}
 	c.stands.Move(&st.stands, h.Step)
-	st.owed = slices.DeleteFunc(st.owed, func(l letter) bool { return c.applied(now, id, st, l) })
+	st.owed = slices.DeleteFunc(st.owed, func(l *letter) bool { return c.applied(now, id, st, l) })
 }
 
 // applied tells the module of a message that is in force, once it is.
-func (c *Core) applied(now logic.Millis, id logic.ProxyID, st *stream, l letter) bool {
+func (c *Core) applied(now logic.Millis, id logic.ProxyID, st *stream, l *letter) bool {
 	if l.doc.Step > st.holds {
 		return false
 	}
@@ -137,7 +137,7 @@
 // arrive tells a proxy what has left the channel for it.
 func (c *Core) arrive(now logic.Millis, m channel.Message) {
 	st := c.streams[m.Proxy]
-	l := m.Body.(letter)
+	l := m.Body.(*letter)
 	if st == nil {
 		return
 	}
--- a/internal/control/world.go
+++ b/internal/control/world.go
@@ -31,7 +31,7 @@
 	was     *world
 	is      *world
 	change  Change
-	fresh   map[logic.TableID]bool // tables that this step has copied already
+	fresh   map[logic.TableID]bool    // tables that this step has copied already
 	lines   map[logic.ProxyID]float64 // of single proxies
 	of      float64                   // of each that has joined
 	serial  logic.SerialID
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -41,7 +41,8 @@
 	fronts  []Front
 	running chan struct{} // closed once fronts are there
 	bays    []*bay
-	barrier atomic.Int64 // the longest, in microseconds
+	view    atomic.Pointer[park.View] // that lots are to see
+	barrier atomic.Int64              // the longest, in microseconds
 	overdue atomic.Uint64
 	tickets atomic.Uint64
 	askers  sync.Map // control.Ticket -> chan control.Answer
--- a/internal/director/lots.go
+++ b/internal/director/lots.go
@@ -23,6 +23,7 @@
 	allow   *inflow.Allowances
 	flights [2]flights // answers that are not written yet, by the epoch they were given in
 	epoch   int
+	saw     *park.View
 }
 
 type flights struct{ n atomic.Int64 }
@@ -57,24 +58,30 @@
 // in lets a lot do something, with its lock held, and carries on what it says. An answer to the ticket that is given is
 // returned and not carried out.
 func (d *Director) in(b *bay, own control.Ticket, do func(*park.Lot) park.Said) (a control.Answer, answered bool) {
-	b.mu.Lock()
-	said := do(b.lot)
 	var others []control.Answer
-	for i := range said.Answers {
-		f := &b.flights[b.epoch]
-		f.n.Add(1)
-		said.Answers[i].Flight = f
-		if said.Answers[i].Ticket == own {
-			a, answered = said.Answers[i], true
-		} else {
-			others = append(others, said.Answers[i])
+	hear := func(said park.Said) {
+		for i := range said.Answers {
+			f := &b.flights[b.epoch]
+			f.n.Add(1)
+			said.Answers[i].Flight = f
+			if said.Answers[i].Ticket == own {
+				a, answered = said.Answers[i], true
+			} else {
+				others = append(others, said.Answers[i])
+			}
+		}
+		if len(said.Core) > 0 { // in the order in which the lot said it, so with the lock held
+			d.post(said.Core...)
 		}
+		clear(said.Answers) // the lot uses their memory anew
+		clear(said.Core)
 	}
-	if len(said.Core) > 0 { // in the order in which the lot said it, so with the lock held
-		d.post(said.Core...)
+	b.mu.Lock()
+	if v := d.view.Load(); v != b.saw && v != nil {
+		b.saw = v
+		hear(b.lot.See(d.Now(), v))
 	}
-	clear(said.Answers) // the lot uses their memory anew
-	clear(said.Core)
+	hear(do(b.lot))
 	b.mu.Unlock()
 	for _, x := range others {
 		d.deliver(x)
@@ -137,15 +144,19 @@
 	}
 }
 
-// show lets all lots see how things stand. With a barrier, what they had answered by then is counted apart.
+// show lets all lots see how things stand: each looks before it does anything. Where that matters at once, as a removal closes them
+// and as they open again, all are made to look now; with a barrier, what they had answered by then is counted apart.
 func (d *Director) show(p control.Publish) {
+	was := d.view.Swap(p.View)
+	if !p.Barrier && was != nil && was.Closed == p.View.Closed && was.Until == p.View.Until {
+		return
+	}
 	for _, b := range d.bays {
-		d.in(b, 0, func(l *park.Lot) park.Said {
-			said := l.See(d.Now(), p.View)
+		d.in(b, 0, func(*park.Lot) (none park.Said) {
 			if p.Barrier {
 				b.epoch ^= 1
 			}
-			return said
+			return none
 		})
 	}
 	if p.Barrier {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -537,7 +537,7 @@
 func (p *placer) run(onlyMust bool) {
 	p.loosen(onlyMust)
 	span := 1
-	for n := p.own.len(); n > 0 && span <= int(p.own.keys[n-1]); {
+	for n := p.own.len(); n > 0 && span <= int(p.own.sorted()[n-1]); {
 		span *= 2
 	}
 	leaves, home := p.blocks(0, span), p.roomiest(nil)
@@ -590,7 +590,7 @@
 	nth, every := 0, max(1, p.own.len()/trialSlices)
 	for id, s := range p.seats.all() {
 		for i := nth % every; s.trial && i < p.own.len(); i += every {
-			p.own.get(p.own.keys[i]).spare = id
+			p.own.get(p.own.sorted()[i]).spare = id
 		}
 		nth += int(bit(s.trial, 0))
 	}
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -96,14 +96,22 @@
 	s.vals[k] = v
 }
 
+// drop leaves the key where it is until half of them are such: a fleet that answers one by one costs its number, and not its square.
 func (s *shelf[K, V]) drop(k K) {
-	delete(s.vals, k)
-	if at, found := slices.BinarySearch(s.keys, k); found {
-		s.keys = slices.Delete(s.keys, at, at+1)
+	if delete(s.vals, k); len(s.keys) > 2*len(s.vals)+16 {
+		s.sorted()
 	}
 }
 
-func (s *shelf[K, V]) len() int { return len(s.keys) }
+// sorted are the keys of what is there.
+func (s *shelf[K, V]) sorted() []K {
+	if len(s.keys) > len(s.vals) {
+		s.keys = slices.DeleteFunc(s.keys, func(k K) bool { return !s.has(k) })
+	}
+	return s.keys
+}
+
+func (s *shelf[K, V]) len() int { return len(s.vals) }
 
 // all walks what was there at the start; what is dropped on the way is passed over.
 func (s *shelf[K, V]) all() iter.Seq2[K, V] {
