vetchwood fault stands between two sockets and breaks what passes, by a script

Standard sockets, as netpoll closes a connection whole when its peer has closed half. vetchwood load: alone = true, one request in hand on each connection.

Result: go test ./internal/fault: a byte garbled in the middle of a difference is refused by the follower, which takes the whole next and holds nothing that nobody told; two runs of a script do the same.

--- /dev/null
+++ b/cmd/vetchwood/fault.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"vetchwood/internal/fault"
+)
+
+type faultCmd struct {
+	File string `arg:"" help:"What to break between which two loopback sockets (HCL)." type:"path"`
+}
+
+// Run prints a line of JSON for each fault, as it is done.
+func (c *faultCmd) Run(ctx context.Context, out io.Writer, log *slog.Logger) error {
+	s, err := fault.Read(c.File, nil)
+	if err != nil {
+		return err
+	}
+	b, err := fault.New(s, out)
+	if err != nil {
+		return err
+	}
+	log.Info("fault.started", "listen", b.Addr().String(), "to", s.To, "seed", s.Seed, "rules", len(s.Rules))
+	return b.Run(ctx)
+}
--- a/cmd/vetchwood/main.go
+++ b/cmd/vetchwood/main.go
@@ -34,6 +34,7 @@
 	Tables   tablesCmd   `cmd:"" help:"Versions of the tables: list, show, diff, go back, hold, release, verify."`
 	Watch    watchCmd    `cmd:"" help:"Follow a director's tables live, over either front."`
 	Load     loadCmd     `cmd:"" help:"Ask a director for more than it may be able to answer, by a script."`
+	Fault    faultCmd    `cmd:"" help:"Stand between two loopback sockets and break what passes, by a script."`
 	Host     hostCmd     `cmd:"" help:"Run a stand-in host, and list it at a roster."`
 	Roster   rosterCmd   `cmd:"" help:"Run a stand-in for the list of hosts (Consul's health interface)."`
 	Rehearse rehearseCmd `cmd:"" help:"Raise a director and stand-ins on this machine and play a day."`
--- /dev/null
+++ b/internal/fault/between.go
@@ -0,0 +1,163 @@
+package fault
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Done is one fault as it was done, for the log.
+type Done struct {
+	At         float64 `json:"at_ms"` // since the start
+	Connection int     `json:"connection"`
+	Way        Way     `json:"way"`
+	Kind       Kind    `json:"kind"`
+	Rule       string  `json:"rule"`
+	What       string  `json:"what"`
+}
+
+// Between stands between clients and a server. It uses the standard library's sockets and not netpoll: that closes a connection as a whole
+// when its peer has closed one half, which is a fault that is to be played here.
+type Between struct {
+	script *Script
+	ln     net.Listener
+	began  time.Time
+	mu     sync.Mutex
+	log    *json.Encoder
+	serial int
+	open   map[net.Conn]bool
+	all    sync.WaitGroup
+}
+
+// New listens. What is done is written to the log, a line of JSON each.
+func New(s *Script, log io.Writer) (*Between, error) {
+	ln, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return &Between{script: s, ln: ln, began: time.Now(), log: json.NewEncoder(log), open: map[net.Conn]bool{}}, nil
+}
+
+// Addr is where it listens.
+func (b *Between) Addr() net.Addr { return b.ln.Addr() }
+
+// Run passes on until the context ends; then all connections are closed.
+func (b *Between) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		b.ln.Close()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for c := range b.open {
+			c.Close()
+		}
+	})
+	defer stop()
+	for {
+		c, err := b.ln.Accept()
+		if err != nil {
+			b.all.Wait()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		b.mu.Lock()
+		b.serial++
+		n := b.serial
+		b.mu.Unlock()
+		b.all.Go(func() { b.pass(ctx, n, c.(*net.TCPConn)) })
+	}
+}
+
+func (b *Between) now() time.Duration { return time.Since(b.began) }
+
+func (b *Between) did(connection int, way Way, a Act) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.log.Encode(Done{float64(b.now().Microseconds()) / 1000, connection, way, a.Kind, a.Rule, a.String()})
+}
+
+func (b *Between) keep(c net.Conn, open bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.open[c] = true; !open {
+		delete(b.open, c)
+	}
+}
+
+// pass is one connection's life.
+func (b *Between) pass(ctx context.Context, n int, client *net.TCPConn) {
+	b.keep(client, true)
+	defer b.keep(client, false)
+	defer client.Close()
+	up, err := net.DialTimeout("tcp", b.script.To, 5*time.Second)
+	if err != nil {
+		client.SetLinger(0) // the client is refused, as it would be by the server
+		return
+	}
+	server := up.(*net.TCPConn)
+	b.keep(server, true)
+	defer b.keep(server, false)
+	defer server.Close()
+	cut := func() {
+		client.SetLinger(0)
+		server.SetLinger(0)
+		client.Close()
+		server.Close()
+	}
+	var both sync.WaitGroup
+	both.Go(func() { b.way(ctx, n, Up, client, server, cut) })
+	both.Go(func() { b.way(ctx, n, Down, server, client, cut) })
+	both.Wait()
+}
+
+// way passes one direction on.
+func (b *Between) way(ctx context.Context, n int, way Way, from, to *net.TCPConn, cut func()) {
+	s := NewStream(b.script.Rules, b.script.Seed, n, way)
+	acts := make(chan Act, 1024)
+	var writing sync.WaitGroup
+	writing.Go(func() {
+		for a := range acts {
+			if wait := a.At - b.now(); wait > 0 {
+				select {
+				case <-ctx.Done():
+				case <-time.After(wait):
+				}
+			}
+			if a.Kind != "" {
+				b.did(n, way, a)
+			}
+			switch a.Kind {
+			case Cut:
+				cut()
+			case HalfClose:
+				to.CloseWrite()
+			case Drop, Garble:
+			default:
+				to.Write(a.Bytes)
+			}
+		}
+		to.CloseWrite()
+	})
+	buf := make([]byte, 32<<10)
+	for {
+		from.SetReadDeadline(time.Now().Add(20 * time.Millisecond)) // so that what time alone brings comes
+		k, err := from.Read(buf)
+		for _, a := range s.Pass(b.now(), buf[:k]) {
+			acts <- a
+		}
+		for _, a := range s.Wake(b.now()) {
+			acts <- a
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+	}
+	close(acts)
+	writing.Wait()
+}
--- /dev/null
+++ b/internal/fault/between_test.go
@@ -0,0 +1,233 @@
+package fault
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"vetchwood/internal/follow"
+	"vetchwood/internal/tables"
+)
+
+type book struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *book) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// done are the faults that were logged, without their times.
+func (b *book) done(t *testing.T) (out []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, line := range strings.Split(strings.TrimSpace(b.buf.String()), "\n") {
+		var d Done
+		if line == "" {
+			continue
+		}
+		if err := json.Unmarshal([]byte(line), &d); err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, fmt.Sprint(d.Connection, d.Way, d.Kind, d.Rule, d.What))
+	}
+	return out
+}
+
+func between(t *testing.T, to string, rules string) (string, *book) {
+	s, err := Read("f.hcl", []byte(fmt.Sprintf("fault {\n listen = \"127.0.0.1:0\"\n to = %q\n seed = 5\n}\n%s", to, rules)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := &book{}
+	b, err := New(s, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return b.Addr().String(), log
+}
+
+func document(step tables.Step) *tables.Document {
+	d := &tables.Document{Pick: "lottery", Routes: map[string]tables.Route{}, Hosts: map[tables.Address]tables.Host{}, Masked: map[tables.Address]bool{},
+		Tables: map[string]*tables.Table{"t": {Lines: map[tables.Address]float64{"h:1": float64(step)}}}}
+	for i := range 40 {
+		d.Hosts[tables.Address(fmt.Sprintf("10.0.0.%d:80", i))] = tables.Host{ID: "fills the document", Zone: "a"}
+	}
+	return d.Seal(3, step, float64(step))
+}
+
+// A byte is garbled in the middle of a difference: the proxy's follower refuses it by its digest, or as no patch, asks for the whole,
+// and never holds anything that no director told.
+func TestAGarbledDifference(t *testing.T) {
+	one, two := document(1), document(2)
+	var wholes, deltas int
+	var mu sync.Mutex
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch held := r.Header.Get("If-None-Match"); {
+		case held == "" && wholes == 0:
+			wholes++
+			w.Header().Set("ETag", one.ETag())
+			w.Header().Set("Content-Type", tables.MediaType)
+			w.Write(one.Whole())
+		case strings.Contains(held, one.ETag()):
+			deltas++
+			w.Header().Set("ETag", two.ETag())
+			w.Header().Set("IM", "json-patch")
+			w.Header().Set("Delta-Base", one.ETag())
+			w.Header().Set("Content-Type", tables.PatchType)
+			w.WriteHeader(http.StatusIMUsed)
+			w.Write(two.Delta(one))
+		case strings.Contains(held, two.ETag()):
+			time.Sleep(50 * time.Millisecond)
+			w.WriteHeader(http.StatusNotModified)
+		default:
+			wholes++
+			w.Header().Set("ETag", two.ETag())
+			w.Header().Set("Content-Type", tables.MediaType)
+			w.Write(two.Whole())
+		}
+	}))
+	defer s.Close()
+	// How long the answers are, so that the byte lies in the second one's body.
+	long := func(held string) int {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: d\r\n%s\r\n", held)
+		c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		all, _ := io.ReadAll(c)
+		return len(all)
+	}
+	place := long("") + long("If-None-Match: "+one.ETag()+"\r\n") - len(two.Delta(one))/2
+	mu.Lock()
+	wholes, deltas = 0, 0
+	mu.Unlock()
+	at, log := between(t, s.Listener.Addr().String(), fmt.Sprintf("rule \"bit\" {\n kind = \"garble\"\n after = %d\n connection = 1\n}\n", place))
+	var seen []tables.Tag
+	f := follow.New(follow.Source{Directors: []string{"http://" + at}, Proxy: "p", Wait: time.Second, Seen: func(u follow.Update) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen = append(seen, u.Doc.Tag())
+	}})
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer stop()
+	go f.Run(ctx)
+	for ctx.Err() == nil && (f.Held() == nil || f.Held().Step < 2) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(log.done(t)) != 1 || deltas == 0 || wholes < 2 {
+		t.Errorf("faults %v, %d differences, %d whole documents", log.done(t), deltas, wholes)
+	}
+	for _, tag := range seen {
+		if tag != one.Tag() && tag != two.Tag() {
+			t.Errorf("it held %v, which nobody told", tag)
+		}
+	}
+}
+
+// echo answers each line with itself, and says at the end how much came.
+func echo(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				n, _ := io.Copy(c, c)
+				fmt.Fprintf(c, "[%d came]", n)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func say(t *testing.T, at, text string) (string, error) {
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	c.Write([]byte(text))
+	time.Sleep(50 * time.Millisecond)
+	c.(*net.TCPConn).CloseWrite()
+	out, err := io.ReadAll(c)
+	return string(out), err
+}
+
+// What the sockets show of each fault, and that two runs of a script do the same.
+func TestFaultsOnSockets(t *testing.T) {
+	t.Parallel()
+	to := echo(t)
+	for _, c := range []struct{ rules, says string }{
+		{"", "hello[5 came]"},
+		{"rule \"a\" {\n kind = \"drop\"\n way = \"down\"\n}", ""},
+		{"rule \"a\" {\n kind = \"drop\"\n way = \"up\"\n after = 1\n bytes = 3\n}", "ho[2 came]"},
+		{"rule \"a\" {\n kind = \"half_close\"\n way = \"up\"\n after = 2\n}", "he[2 came]"},
+		{"rule \"a\" {\n kind = \"half_close\"\n way = \"down\"\n after = 3\n}", "hel"},
+		{"rule \"a\" {\n kind = \"throttle\"\n rate = 50\n}", "hello[5 came]"},
+		{"rule \"a\" {\n kind = \"cut\"\n way = \"down\"\n connection = 2\n}", "hello[5 came]"},
+	} {
+		var logs [2][]string
+		for i := range logs {
+			at, log := between(t, to, c.rules)
+			began := time.Now()
+			got, err := say(t, at, "hello")
+			if err != nil || got != c.says {
+				t.Errorf("%s: %q, %v", c.rules, got, err)
+			}
+			if strings.Contains(c.rules, "throttle") && time.Since(began) < 90*time.Millisecond {
+				t.Errorf("%s: over after %v", c.rules, time.Since(began))
+			}
+			logs[i] = log.done(t)
+		}
+		if fmt.Sprint(logs[0]) != fmt.Sprint(logs[1]) || (len(logs[0]) == 0) == (strings.Contains(c.rules, "rule") && !strings.Contains(c.rules, "connection")) {
+			t.Errorf("%s: %v, and then %v", c.rules, logs[0], logs[1])
+		}
+	}
+	at, _ := between(t, to, "rule \"a\" {\n kind = \"cut\"\n way = \"up\"\n from = \"20ms\"\n}")
+	if got, err := say(t, at, "hello"); err == nil {
+		t.Errorf("cut by time: %q without an error", got)
+	}
+}
+
+func TestScriptsThatAreWrong(t *testing.T) {
+	_, err := Read("f.hcl", []byte("fault {\n listen = \"10.0.0.1:80\"\n to = \"127.0.0.1:1\"\n}\nrule \"a\" {\n kind = \"delay\"\n rate = 3\n}\n"))
+	if err == nil || !strings.Contains(err.Error(), "f.hcl:2") || !strings.Contains(err.Error(), "needs by") || !strings.Contains(err.Error(), "rate") {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/fault/plan.go
@@ -0,0 +1,161 @@
+// Package fault breaks what passes between two sockets, by a script: it delays, slows, drops, garbles, closes half of a connection or cuts
+// it, by time and by byte count. It knows nothing of what the bytes mean. This file decides, without I/O or clock: what came, at what
+// place of which connection, gives what is to be done, and the same seed gives the same.
+package fault
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Way is a direction: of what the client sends, or of what the server does.
+type Way string
+
+const (
+	Up   Way = "up"
+	Down Way = "down"
+)
+
+// Kind of fault.
+type Kind string
+
+const (
+	Delay     Kind = "delay"      // bytes go on so much later, in order
+	Throttle  Kind = "throttle"   // so many bytes a second
+	Drop      Kind = "drop"       // bytes are taken and go nowhere
+	Garble    Kind = "garble"     // one byte is another
+	HalfClose Kind = "half_close" // the end of this way is told, the other goes on
+	Cut       Kind = "cut"        // the connection is reset
+)
+
+// Rule is one fault. It is in force from a time on, or from a byte on; for a time or so many bytes; on all connections or one.
+type Rule struct {
+	Name       string
+	Kind       Kind
+	Way        Way
+	From       time.Duration // since the start
+	For        time.Duration // 0: without end
+	After      int64         // bytes of its way that pass first
+	Bytes      int64         // that it concerns; 0: all that follow
+	Connection int           // the first is 1; 0: all
+	By         time.Duration // of a delay
+	Rate       int64         // of a throttle, bytes a second
+}
+
+func (r Rule) holds(now time.Duration, connection int, way Way) bool {
+	return r.Way == way && (r.Connection == 0 || r.Connection == connection) && now >= r.From && (r.For == 0 || now < r.From+r.For)
+}
+
+// Act is one thing to do, in order. Bytes go on not before At.
+type Act struct {
+	Kind  Kind   // empty: the bytes go on
+	Rule  string // whose doing it is
+	Place int64  // of the first byte concerned, in its way
+	Bytes []byte
+	At    time.Duration
+	Was   byte // of what was garbled
+}
+
+func (a Act) String() string {
+	switch a.Kind {
+	case Garble:
+		return fmt.Sprintf("byte %d: %02x for %02x", a.Place, a.Bytes[0], a.Was)
+	case Drop, Delay, Throttle:
+		return fmt.Sprintf("bytes %d to %d", a.Place, a.Place+int64(len(a.Bytes))-1)
+	}
+	return fmt.Sprintf("at byte %d", a.Place)
+}
+
+// Stream is one way of one connection.
+type Stream struct {
+	rules      []Rule
+	connection int
+	way        Way
+	place      int64
+	free       time.Duration // when what went before has gone on
+	spent      map[int]bool  // rules that act once, and have
+	chance     *rand.Rand
+	over       bool
+}
+
+// NewStream begins one. Its chance depends on the seed, the connection and the way alone.
+func NewStream(rules []Rule, seed uint64, connection int, way Way) *Stream {
+	turn := uint64(connection) << 1
+	if way == Down {
+		turn++
+	}
+	return &Stream{rules: rules, connection: connection, way: way, spent: map[int]bool{}, chance: rand.New(rand.NewPCG(seed, turn))}
+}
+
+// next is a place at which some rule begins or ends to concern bytes, after a place; what lies before it is treated alike.
+func (s *Stream) next(now time.Duration, place, end int64) int64 {
+	for i, r := range s.rules {
+		if s.spent[i] || !r.holds(now, s.connection, s.way) {
+			continue
+		}
+		until := r.After + r.Bytes
+		if r.Kind == Garble {
+			until = r.After + 1
+		}
+		for _, edge := range []int64{r.After, until} {
+			if edge > place && edge < end {
+				end = edge
+			}
+		}
+	}
+	return end
+}
+
+// Pass takes what came and says what to do with it. After a cut, or the end of its way, nothing more passes.
+func (s *Stream) Pass(now time.Duration, in []byte) (acts []Act) {
+	for len(in) > 0 && !s.over {
+		n := s.next(now, s.place, s.place+int64(len(in))) - s.place
+		acts = append(acts, s.part(now, in[:n])...)
+		in = in[n:]
+		s.place += n
+	}
+	return acts
+}
+
+// Wake says what a time alone brings: a cut, or the end of a way, that is not for bytes to bring.
+func (s *Stream) Wake(now time.Duration) []Act {
+	for i, r := range s.rules {
+		if (r.Kind == Cut || r.Kind == HalfClose) && r.After == 0 && !s.spent[i] && !s.over && r.holds(now, s.connection, s.way) {
+			s.over = true
+			return []Act{{Kind: r.Kind, Rule: r.Name, Place: s.place, At: now}}
+		}
+	}
+	return nil
+}
+
+// part treats bytes that all rules treat alike.
+func (s *Stream) part(now time.Duration, in []byte) (acts []Act) {
+	at := max(now, s.free)
+	out := Act{Place: s.place, Bytes: append([]byte(nil), in...), At: at}
+	for i, r := range s.rules {
+		if s.spent[i] || !r.holds(now, s.connection, s.way) || s.place < r.After || r.Bytes > 0 && s.place >= r.After+r.Bytes {
+			continue
+		}
+		switch r.Kind {
+		case Delay:
+			out.At = max(out.At, now+r.By)
+			out.Kind, out.Rule = Delay, r.Name
+		case Throttle:
+			out.At += time.Duration(float64(len(in)) / float64(r.Rate) * float64(time.Second))
+			out.Kind, out.Rule = Throttle, r.Name
+		case Drop:
+			return append(acts, Act{Kind: Drop, Rule: r.Name, Place: s.place, Bytes: out.Bytes, At: at})
+		case Garble:
+			s.spent[i] = true
+			was := out.Bytes[0]
+			out.Bytes[0] ^= byte(1 + s.chance.IntN(255))
+			acts = append(acts, Act{Kind: Garble, Rule: r.Name, Place: s.place, Bytes: out.Bytes[:1:1], At: at, Was: was})
+		case HalfClose, Cut:
+			s.over = true
+			return append(acts, Act{Kind: r.Kind, Rule: r.Name, Place: s.place, At: at})
+		}
+	}
+	s.free = out.At
+	return append(acts, out)
+}
--- a/internal/load/line.go
+++ b/internal/load/line.go
@@ -33,10 +33,11 @@
 	limit time.Duration
 	done  func(*line, fate)
 
-	mu    sync.Mutex
-	conn  net.Conn
-	hand  []asked // in hand, oldest first
-	watch *time.Timer
+	mu      sync.Mutex
+	conn    net.Conn
+	dialing bool
+	hand    []asked // in hand, oldest first
+	watch   *time.Timer
 }
 
 // send writes requests that are already put into words. What can't be sent has failed.
@@ -45,7 +46,7 @@
 	defer l.mu.Unlock()
 	if l.conn == nil {
 		c, err := net.DialTimeout("tcp", l.to, l.limit)
-		if err != nil {
+		if l.dialing = false; err != nil {
 			l.mu.Unlock()
 			for _, a := range all {
 				l.done(l, fate{asked: a})
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -183,8 +183,13 @@
 	l := r.lines[n%uint64(st.Connections)]
 	text := r.word(st.Kind, a.proxy)
 	l.mu.Lock()
-	alone := l.conn == nil || len(l.hand) > 8
+	alone, busy := l.conn == nil || len(l.hand) > 8, st.Alone && (len(l.hand) > 0 || l.dialing)
+	l.dialing = l.conn == nil && !busy
 	l.mu.Unlock()
+	if busy {
+		r.ended(nil, fate{asked: a})
+		return
+	}
 	if alone { // it has to be opened, or what was sent on it may not be read yet, which must not hold up the others
 		go l.send(text, a)
 		return
--- a/internal/load/script.go
+++ b/internal/load/script.go
@@ -31,6 +31,7 @@
 	Flood       int     // requests in hand on each connection, without end
 	Proxies     int     // that the requests are of, in turn
 	Connections int
+	Alone       bool // one request in hand on each connection, as a proxy has; what finds its connection busy has failed
 	For         time.Duration
 }
 
@@ -71,6 +72,7 @@
 			Rate: in.Number("rate", 0, 0, 1e6), Storm: in.Whole("storm", 0, 0, 1e6), Flood: in.Whole("flood", 0, 0, 1000),
 			Proxies: in.Whole("proxies", 100, 1, 1e6), For: in.Span("for", -1, time.Second, time.Hour)}
 		st.Connections = in.Whole("connections", min(st.Proxies, 4096), 1, 60000)
+		st.Alone = in.Truth("alone", false)
 		ways := 0
 		for _, set := range []bool{st.Rate > 0 || st.Storm > 0, st.Flood > 0, st.Kind == Waits} {
 			if set {
--- a/internal/longpoll/bench_test.go
+++ b/internal/longpoll/bench_test.go
@@ -83,26 +83,28 @@
 }
 
 func (s *shelf) Ticket() control.Ticket { return control.Ticket(s.tickets.Add(1)) }
+
+// Poll answers at once where it can, as a director's lots do.
 func (s *shelf) Poll(p control.Poll) (control.Answer, bool, time.Duration) {
-	s.Post(p)
-	return control.Answer{}, false, 0
-}
-func (s *shelf) Admit(inflow.Kind, string) time.Duration { return 0 }
-func (s *shelf) Post(in any) {
-	p, ok := in.(control.Poll)
-	if !ok {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	a, answered := s.answer(p)
+	return a, answered, 0
+}
+
+func (s *shelf) Admit(inflow.Kind, string) time.Duration { return 0 }
+func (s *shelf) Post(any)                                {}
+
+func (s *shelf) answer(p control.Poll) (control.Answer, bool) {
+	a := control.Answer{Ticket: p.Ticket, To: p.From, Kind: control.Unchanged, Doc: s.doc}
 	switch {
 	case len(p.Held) == 0 || p.Held[0] != s.doc.Tag():
-		s.front.Answer(control.Answer{Ticket: p.Ticket, To: p.From, Kind: control.Whole, Doc: s.doc})
-	case p.Wait == 0:
-		s.front.Answer(control.Answer{Ticket: p.Ticket, To: p.From, Kind: control.Unchanged, Doc: s.doc})
-	default:
+		a.Kind = control.Whole
+	case p.Wait > 0:
 		s.waits[p.Ticket] = p.From
+		return a, false
 	}
+	return a, true
 }
 
 func (s *shelf) tell(d *tables.Document) {
