SIGHUP reads the settings anew: what can takes effect, the rest is named

Change: internal/reload decides by attribute what takes effect in a running director (memory, history, guards of polls) and what only a start over brings; the daemon reads, checks the whole file and applies it in one step, or leaves all as it was.

Result: go test -race ./internal/daemon: a wrong file changes nothing, a connection lives through three reloads, a signal upon another is met by the file as it is, facts of the module are named each time.

--- a/cmd/vetchwood/commands.go
+++ b/cmd/vetchwood/commands.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/consul/api"
@@ -30,7 +33,10 @@
 	if err != nil {
 		return err
 	}
-	return daemon.Run(ctx, s, log)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	return daemon.Run(ctx, s, log, daemon.Again{File: c.File, Signal: hup})
 }
 
 type relayCmd struct {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -68,6 +68,13 @@
 
 func New(m Means) *Ledger { return &Ledger{shares: m.Of(), held: map[Client]int64{}} }
 
+// Have says what the machine gives from now on. What is held beyond it goes as it is touched next.
+func (l *Ledger) Have(m Means) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shares = m.Of()
+}
+
 // Cuts says how a client's connection is closed. It is called before anything is held.
 func (l *Ledger) Cuts(by func(Client)) { l.cut = by }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,7 +25,7 @@
 )
 
 // Run is a director's life: until the context ends, or something that it can't do without fails.
-func Run(ctx context.Context, s *settings.Running, log *slog.Logger) error {
+func Run(ctx context.Context, s *settings.Running, log *slog.Logger, again ...Again) error {
 	log = log.With("director", s.Name)
 	st, err := store.Open(s.StorePath, s.History)
 	if err != nil {
@@ -97,6 +97,9 @@
 	if holder != nil {
 		go holder.Run(ctx)
 	}
+	for _, a := range again {
+		go a.follow(ctx, front, st, ledger, log)
+	}
 	log.Info("director.started", "listen", front.Addr().String(), "admin", s.Admin)
 	select {
 	case <-asked.Done():
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,11 +1,19 @@
 package daemon
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"os"
 	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,20 +32,11 @@
 	return ln.Addr().String()
 }
 
-// A stop amid a storm of polls, some of them new, some that acknowledge and some that wait: the director ends at once and well, what
-// it told is stored, and it starts over from there while the storm goes on.
-func TestStopAmidAStorm(t *testing.T) {
-	registry, err := standin.NewRegistry("127.0.0.1:0", nil, func() float64 { return float64(time.Now().UnixMilli()) }, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer registry.Close()
-	listen, path := port(t), filepath.Join(t.TempDir(), "d.db")
-	s, err := settings.Parse("d.hcl", fmt.Appendf(nil, `
+const file = `
 director "d1" {
-  listen = %q
-  store  = %q
-  memory = "128MiB"
+  listen = %[1]q
+  store  = %[2]q
+  memory = %[4]q
 }
 service {
   zones  = ["a"]
@@ -63,9 +62,24 @@
   queue_lines      = 1000000
 }
 roster {
-  consul  = %q
+  consul  = %[3]q
   service = "hosts"
-}`, listen, path, registry.URL()))
+}
+poll {
+  most_head = %[5]q
+}
+`
+
+// A stop amid a storm of polls, some of them new, some that acknowledge and some that wait: the director ends at once and well, what
+// it told is stored, and it starts over from there while the storm goes on.
+func TestStopAmidAStorm(t *testing.T) {
+	registry, err := standin.NewRegistry("127.0.0.1:0", nil, func() float64 { return float64(time.Now().UnixMilli()) }, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer registry.Close()
+	listen, path := port(t), filepath.Join(t.TempDir(), "d.db")
+	s, err := settings.Parse("d.hcl", fmt.Appendf(nil, file, listen, path, registry.URL(), "128MiB", "16KiB"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,3 +129,98 @@
 		st.Close()
 	}
 }
+
+// journal keeps what was logged.
+type journal struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *journal) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+func (l *journal) count(what string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.buf.String(), what)
+}
+
+// A file that changes: what can takes effect without a connection lost, what can't is named each time, a file that is wrong changes
+// nothing, and signals one upon the other are all met by the file as it is in the end.
+func TestReload(t *testing.T) {
+	registry, err := standin.NewRegistry("127.0.0.1:0", nil, func() float64 { return float64(time.Now().UnixMilli()) }, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer registry.Close()
+	dir, listen := t.TempDir(), port(t)
+	path := filepath.Join(dir, "d.hcl")
+	write := func(slo, memory, head string) {
+		text := strings.Replace(fmt.Sprintf(file, listen, "d.db", registry.URL(), memory, head), `slo        = "1s"`, `slo        = "`+slo+`"`, 1)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("1s", "128MiB", "16KiB")
+	s, err := settings.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, hup := &journal{}, make(chan os.Signal, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, s, slog.New(slog.NewTextHandler(log, nil)), Again{path, hup}) }()
+	await := func(what string, n int) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); log.count(what) < n; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%q is not logged %d times", what, n)
+			}
+		}
+	}
+	await("director.started", 1)
+	c, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	ask := func(fill int) int {
+		fmt.Fprintf(c, "GET /v1/proxies/p1/tables HTTP/1.1\r\nHost: d\r\nX-Fill: %s\r\n\r\n", strings.Repeat("x", fill))
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, res.Body)
+		return res.StatusCode
+	}
+	if status := ask(4000); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	write("wrong", "128MiB", "1KiB")
+	hup <- syscall.SIGHUP
+	await("reload.refused", 1)
+	if status := ask(4000); status != http.StatusOK {
+		t.Fatalf("a wrong file took effect: %d", status)
+	}
+	write("2s", "256MiB", "1KiB")
+	hup <- syscall.SIGHUP
+	hup <- syscall.SIGHUP // during the first, or right after it
+	await("reload.done", 2)
+	if log.count("director[d1].memory: ") != 1 || log.count("poll.most_head: ") != 1 || log.count("reload.takes_restart") != 2 || log.count("service.route[read].slo: ") != 2 {
+		t.Error(log.buf.String())
+	}
+	if status := ask(100); status != http.StatusOK {
+		t.Error(status)
+	}
+	if status := ask(4000); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("a head past the new limit: %d", status)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -15,12 +15,11 @@
 // memory sets up what the process may use: the collector's limit lies under the memory that the settings state, so that it works
 // harder before that is reached, and is let be while there is room.
 func memory(ctx context.Context, s *settings.Running) (*budget.Ledger, error) {
-	var files syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
-		return nil, fmt.Errorf("descriptors: %w", err)
+	m, err := means(s)
+	if err != nil {
+		return nil, err
 	}
-	ledger := budget.New(budget.Means{Memory: s.Memory, Descriptors: int(min(files.Cur, 1<<30))})
-	debug.SetMemoryLimit(s.Memory / 100 * 90)
+	ledger := budget.New(m)
 	debug.SetGCPercent(200)
 	s.Front.Budget = ledger
 	if s.MQTT != nil {
@@ -42,3 +41,13 @@
 	}()
 	return ledger, nil
 }
+
+// means are what the settings and the system give, and tell the collector.
+func means(s *settings.Running) (budget.Means, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return budget.Means{}, fmt.Errorf("descriptors: %w", err)
+	}
+	debug.SetMemoryLimit(s.Memory / 100 * 90)
+	return budget.Means{Memory: s.Memory, Descriptors: int(min(files.Cur, 1<<30))}, nil
+}
--- a/internal/longpoll/ask.go
+++ b/internal/longpoll/ask.go
@@ -89,7 +89,7 @@
 		return wrong
 	}
 	q.Wait, p.prefer = preferredWait(r.value("prefer"))
-	q.Wait = min(q.Wait, s.limits.LongestWait)
+	q.Wait = min(q.Wait, s.limits.Load().LongestWait)
 	if zone, only := bytes.CutPrefix(query, []byte("zone=")); only && bytes.IndexAny(zone, "&%+;") < 0 {
 		q.Zone = string(zone)
 	} else if len(query) > 0 {
@@ -130,7 +130,7 @@
 	if q.Proxy != "" && q.Proxy != proxy {
 		return bad(http.StatusBadRequest, "load stats: node.id: %.60q is not the proxy of the path", q.Proxy)
 	}
-	if !s.limits.Budget.Takes() {
+	if !s.budget.Takes() {
 		return later(5 * time.Second)
 	}
 	if wait := s.core.Admit(inflow.Reports, proxy); wait > 0 {
@@ -143,7 +143,7 @@
 
 // look hands on the poll of one that looks on.
 func (s *Server) look(p *peer, r *request) (wrong *problem) {
-	if !s.limits.Budget.Takes() {
+	if !s.budget.Takes() {
 		return later(5 * time.Second)
 	}
 	if wait := s.core.Admit(inflow.Looks, ""); wait > 0 {
@@ -154,7 +154,7 @@
 		return wrong
 	}
 	q.Wait, p.prefer = preferredWait(r.value("prefer"))
-	q.Wait = min(q.Wait, s.limits.LongestWait)
+	q.Wait = min(q.Wait, s.limits.Load().LongestWait)
 	p.waits, p.ticket, p.poll, p.proxy = q.Wait, q.Ticket, true, ""
 	s.asked.Store(q.Ticket, p)
 	s.core.Post(q)
--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -49,7 +49,8 @@
 type Server struct {
 	*nets.Socket
 	core   Core
-	limits Limits
+	budget *budget.Ledger
+	limits atomic.Pointer[Limits]
 	log    *slog.Logger
 	asked  sync.Map // control.Ticket -> *peer, for what is no poll
 	peers  sync.Map // budget.Client -> *peer
@@ -84,12 +85,21 @@
 	if limits.Budget == nil {
 		limits.Budget = budget.New(budget.Unlimited)
 	}
-	s := &Server{core: core, limits: limits, log: log, done: make(chan struct{})}
+	s := &Server{core: core, budget: limits.Budget, log: log, done: make(chan struct{})}
+	s.limits.Store(&limits)
 	var err error
 	s.Socket, err = nets.Listen(address, s.read, s.accept, limits.Write, limits.Budget, log)
 	return s, err
 }
 
+// Limit guards by other limits from now on; requests that are half read meet them with their next byte. What the budget is, how long a poll
+// waits and how slowly an answer may be read stay as they are.
+func (s *Server) Limit(l Limits) {
+	was := s.limits.Load()
+	l.Budget, l.LongestWait, l.Write = was.Budget, was.LongestWait, was.Write
+	s.limits.Store(&l)
+}
+
 // Open is how many connections there are.
 func (s *Server) Open() int64 { return s.open.Load() }
 
@@ -117,7 +127,7 @@
 	c.AddCloseCallback(func(netpoll.Connection) error {
 		s.peers.Delete(p.id)
 		s.open.Add(-1)
-		s.limits.Budget.Closed(p.id)
+		s.budget.Closed(p.id)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.gone = true
@@ -155,9 +165,8 @@
 	} else {
 		p.in = append(p.in, b...)
 	}
-	if len(p.in) > s.limits.MostHead+s.limits.MostBody {
-		s.refuse(p, bad(http.StatusRequestEntityTooLarge, "more than %d bytes wait unanswered",
-			s.limits.MostHead+s.limits.MostBody).last())
+	if most := s.limits.Load().MostHead + s.limits.Load().MostBody; len(p.in) > most {
+		s.refuse(p, bad(http.StatusRequestEntityTooLarge, "more than %d bytes wait unanswered", most).last())
 		p.in = nil
 	}
 	s.turn(p)
@@ -167,7 +176,7 @@
 	r.Release()
 	if len(p.in) != p.holds && !p.gone {
 		p.holds = len(p.in)
-		s.limits.Budget.Hold(p.id, int64(p.holds))
+		s.budget.Hold(p.id, int64(p.holds))
 	}
 	return nil
 }
@@ -189,10 +198,10 @@
 	if p.ticket != 0 || len(p.in) == 0 {
 		return
 	}
-	r, in := readers.Get().(*request), p.in
+	r, in, limits := readers.Get().(*request), p.in, s.limits.Load()
 	defer readers.Put(r)
 	for p.ticket == 0 && len(in) > 0 && !p.gone {
-		whole, wrong := r.next(in, s.limits.MostHead, s.limits.MostBody)
+		whole, wrong := r.next(in, limits.MostHead, limits.MostBody)
 		if wrong != nil {
 			s.refuse(p, wrong)
 			in = nil
@@ -266,6 +275,7 @@
 		case <-s.done:
 			return
 		case now := <-tick.C:
+			limits := s.limits.Load()
 			s.peers.Range(func(_, v any) bool {
 				p := v.(*peer)
 				if !p.mu.TryLock() {
@@ -274,9 +284,9 @@
 				defer p.mu.Unlock()
 				switch quiet := now.Sub(p.since); {
 				case p.ticket != 0 || p.gone:
-				case len(p.in) > 0 && quiet > s.limits.SlowRequest:
-					s.refuse(p, bad(http.StatusRequestTimeout, "the request took longer than %v to come", s.limits.SlowRequest).last())
-				case len(p.in) == 0 && quiet > s.limits.Idle:
+				case len(p.in) > 0 && quiet > limits.SlowRequest:
+					s.refuse(p, bad(http.StatusRequestTimeout, "the request took longer than %v to come", limits.SlowRequest).last())
+				case len(p.in) == 0 && quiet > limits.Idle:
 					p.gone = true
 					go p.conn.Close()
 				}
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -311,3 +311,28 @@
 func (r *Reader) Has(kind string) bool {
 	return slices.ContainsFunc(r.body.Blocks, func(b *hclsyntax.Block) bool { return b.Type == kind })
 }
+
+// Flat gives each attribute of the file by its path, such as `service.route[read].slo`, as it is written.
+func Flat(text []byte, name string) (map[string]string, error) {
+	f, diags := hclparse.NewParser().ParseHCL(text, name)
+	if diags.HasErrors() {
+		return nil, describe(diags)
+	}
+	out := map[string]string{}
+	var walk func(*hclsyntax.Body, string)
+	walk = func(b *hclsyntax.Body, under string) {
+		for n, a := range b.Attributes {
+			out[under+n] = strings.TrimSpace(string(a.Expr.Range().SliceBytes(text)))
+		}
+		for _, block := range b.Blocks {
+			path := under + block.Type
+			for _, l := range block.Labels {
+				path += "[" + l + "]"
+			}
+			out[path] = "there"
+			walk(block.Body, path+".")
+		}
+	}
+	walk(f.Body.(*hclsyntax.Body), "")
+	return out, nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -28,7 +29,7 @@
 // Store is an open file.
 type Store struct {
 	db   *bbolt.DB
-	keep Retention
+	keep atomic.Pointer[Retention]
 }
 
 // Open opens or makes the file.
@@ -40,7 +41,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", path, err)
 	}
-	s := &Store{db, keep}
+	s := &Store{db: db}
+	s.keep.Store(&keep)
 	err = db.Update(func(tx *bbolt.Tx) error {
 		for _, b := range buckets {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
@@ -59,6 +61,9 @@
 	return s, nil
 }
 
+// Keep says how much of the history is kept from now on.
+func (s *Store) Keep(keep Retention) { s.keep.Store(&keep) }
+
 func (s *Store) Close() error { return s.db.Close() }
 
 // together takes apart the one record that an earlier version kept all proxies' names in: a fleet that joins writes each once, and
@@ -159,7 +164,7 @@
 				return err
 			}
 			if c.Step > 0 {
-				if err := record(tx, c, s.keep); err != nil {
+				if err := record(tx, c, *s.keep.Load()); err != nil {
 					return err
 				}
 			}
