A service manager is told of readiness, reloads and the end; reloads compare with what was loaded

Cause of a flaw found by the test: the file that a reload compares with was read after the start, and may have changed by then.

Change: sd_notify's protocol by go-systemd; the attributes as they were loaded travel with the settings; signals that come during a start are met once it is ready.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/coreos/go-systemd/v22/daemon"
+
 	"vetchwood/internal/budget"
 	"vetchwood/internal/control"
 	"vetchwood/internal/director"
@@ -97,13 +100,26 @@
 	if holder != nil {
 		go holder.Run(ctx)
 	}
-	for _, a := range again {
-		go a.follow(ctx, front, st, ledger, log)
-	}
+	go func() { // ready once polls are answered
+		tick := time.NewTicker(5 * time.Millisecond)
+		defer tick.Stop()
+		for !d.Ready() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+		}
+		tell(log, daemon.SdNotifyReady)
+		for _, a := range again { // a signal that came before is met now
+			go a.follow(ctx, maps.Clone(s.Written), front, st, ledger, log)
+		}
+	}()
 	log.Info("director.started", "listen", front.Addr().String(), "admin", s.Admin)
 	select {
 	case <-asked.Done():
 		log.Info("director.stopping")
+		tell(log, daemon.SdNotifyStopping)
 		err = nil
 		if holder != nil { // all goes on while others take over
 			begun := time.Now()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -168,6 +168,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	manager, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: filepath.Join(dir, "notify"), Net: "unixgram"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer manager.Close()
+	t.Setenv("NOTIFY_SOCKET", filepath.Join(dir, "notify"))
 	log, hup := &journal{}, make(chan os.Signal, 1)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -223,4 +229,16 @@
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
+	told, b := "", make([]byte, 1000)
+	for !strings.Contains(told, "STOPPING=1") {
+		manager.SetReadDeadline(time.Now().Add(5 * time.Second))
+		n, err := manager.Read(b)
+		if err != nil {
+			t.Fatalf("the service manager was told %q: %v", told, err)
+		}
+		told += string(b[:n]) + "\n"
+	}
+	if !strings.HasPrefix(told, "READY=1") || strings.Count(told, "RELOADING=1\nMONOTONIC_USEC=") != 3 || strings.Count(told, "READY=1") != 4 {
+		t.Errorf("the service manager was told %q", told)
+	}
 }
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -4,6 +4,10 @@
 	"context"
 	"log/slog"
 	"os"
+	"strconv"
+
+	"github.com/coreos/go-systemd/v22/daemon"
+	"golang.org/x/sys/unix"
 
 	"vetchwood/internal/budget"
 	"vetchwood/internal/longpoll"
@@ -20,52 +24,56 @@
 
 // follow reads the file anew at each signal, one after the other: a signal that comes meanwhile is met by one more reading. A file
 // that is wrong changes nothing.
-func (a Again) follow(ctx context.Context, front *longpoll.Server, st *store.Store, ledger *budget.Ledger, log *slog.Logger) {
+func (a Again) follow(ctx context.Context, was map[string]string, front *longpoll.Server, st *store.Store, ledger *budget.Ledger, log *slog.Logger) {
 	if a.Signal == nil {
 		return
 	}
-	text, err := os.ReadFile(a.File)
-	if err != nil {
-		log.Error("reload.failed", "error", err)
-	}
-	was, _ := settings.Flat(text, a.File)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-a.Signal:
 		}
-		text, err := os.ReadFile(a.File)
-		if err != nil {
-			log.Error("reload.refused", "error", err)
-			continue
-		}
-		s, err := settings.Parse(a.File, text)
-		if err != nil { // all that is wrong with it, each with its place
-			log.Error("reload.refused", "error", err)
-			continue
-		}
-		is, err := settings.Flat(text, a.File)
-		if err != nil {
-			log.Error("reload.refused", "error", err)
-			continue
-		}
-		plan := reload.Of(was, is)
-		m, err := means(s)
-		if err != nil {
-			log.Error("reload.refused", "error", err)
-			continue
-		}
-		ledger.Have(m)
-		st.Keep(s.History)
-		front.Limit(s.Front)
-		for _, c := range plan.Now {
-			log.Info("reload.changed", "what", c.String())
-			was[c.Name] = c.Is // what waits for a start over is named again at the next signal
-		}
-		for _, c := range plan.Restart {
-			log.Warn("reload.takes_restart", "what", c.String())
-		}
-		log.Info("reload.done", "changed", len(plan.Now), "take_restart", len(plan.Restart))
+		a.once(was, front, st, ledger, log)
 	}
 }
+
+// once is one reading. The manager is told that it is over, whatever came of it.
+func (a Again) once(was map[string]string, front *longpoll.Server, st *store.Store, ledger *budget.Ledger, log *slog.Logger) {
+	tell(log, daemon.SdNotifyReloading+"\n"+monotonic())
+	defer tell(log, daemon.SdNotifyReady)
+	text, err := os.ReadFile(a.File)
+	if err != nil {
+		log.Error("reload.refused", "error", err)
+		return
+	}
+	s, err := settings.Parse(a.File, text)
+	if err != nil { // all that is wrong with it, each with its place
+		log.Error("reload.refused", "error", err)
+		return
+	}
+	plan := reload.Of(was, s.Written)
+	m, err := means(s)
+	if err != nil {
+		log.Error("reload.refused", "error", err)
+		return
+	}
+	ledger.Have(m)
+	st.Keep(s.History)
+	front.Limit(s.Front)
+	for _, c := range plan.Now {
+		log.Info("reload.changed", "what", c.String())
+		was[c.Name] = c.Is // what waits for a start over is named again at the next signal
+	}
+	for _, c := range plan.Restart {
+		log.Warn("reload.takes_restart", "what", c.String())
+	}
+	log.Info("reload.done", "changed", len(plan.Now), "take_restart", len(plan.Restart))
+}
+
+// monotonic is the time of a reload as the protocol wants it.
+func monotonic() string {
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	return "MONOTONIC_USEC=" + strconv.FormatInt(t.Nano()/1000, 10)
+}
--- a/internal/settings/director.go
+++ b/internal/settings/director.go
@@ -4,6 +4,7 @@
 	"math"
 	"net"
 	"net/url"
+	"os"
 	"path/filepath"
 	"regexp"
 	"time"
@@ -22,7 +23,8 @@
 	Name          string
 	Listen, Admin string
 	StorePath     string
-	Memory        int64 // that the process may use
+	Memory        int64             // that the process may use
+	Written       map[string]string // each attribute by its path, as it stands in the file
 	Service       control.Service
 	Front         longpoll.Limits
 	Roster        Roster
@@ -53,13 +55,21 @@
 // Parse reads a director's settings from text; name stands for the file in errors.
 func Parse(name string, text []byte) (*Running, error) { return load(name, text) }
 
-func load(path string, text []byte) (*Running, error) {
+func load(path string, text []byte) (_ *Running, err error) {
+	if text == nil {
+		if text, err = os.ReadFile(path); err != nil {
+			return nil, err
+		}
+	}
 	r, err := Open(path, text)
 	if err != nil {
 		return nil, err
 	}
 	r.Name = "the file"
 	out := &Running{}
+	if out.Written, err = Flat(text, path); err != nil {
+		return nil, err
+	}
 	f := &out.Service.Facts
 	if all, names := r.Blocks("director", 1, 1, 1); len(all) > 0 {
 		out.director(all[0], names[0], path)
