Connections are counted where they are held and let go; unused counts and checks gone

A connection was counted by the listener and let go by the front, so that one which netpoll drops before the front hears of it would have stayed counted; a proxy's wish for a newer table repeated what tell does; three figures and a check were never read.

Change: each front opens and closes its connections in the budget; wants goes through tell; the rest is removed. No behaviour is changed otherwise.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -56,14 +56,11 @@
 // Figures are counted for the operator.
 type Figures struct {
 	Shares
-	Open          int
-	Held          int64
-	Paused        bool
-	Pauses, Cuts  uint64
-	MostOpen      int
-	MostHeld      int64
-	Heap          int64
-	TurnedForHeap uint64
+	Open         int
+	Held         int64
+	Paused       bool
+	Pauses, Cuts uint64
+	Heap         int64
 }
 
 func New(m Means) *Ledger { return &Ledger{shares: m.Of(), held: map[Client]int64{}} }
@@ -101,12 +98,11 @@
 	return false, began
 }
 
-// Opened and Closed count connections.
+// Opened and Closed count connections, each by the front that has it.
 func (l *Ledger) Opened() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open++
-	l.figures.MostOpen = max(l.figures.MostOpen, l.open)
 }
 
 // Closed forgets what the client held, too.
@@ -128,7 +124,6 @@
 	if l.held[c] = n; n == 0 {
 		delete(l.held, c)
 	}
-	l.figures.MostHeld = max(l.figures.MostHeld, min(l.bytes, l.shares.Bytes))
 	return l.relieve(l.shares.Bytes)
 }
 
@@ -164,11 +159,7 @@
 func (l *Ledger) Takes() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heap < l.shares.Soft {
-		return true
-	}
-	l.figures.TurnedForHeap++
-	return false
+	return l.heap < l.shares.Soft
 }
 
 // Figures are those of now.
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -125,12 +125,7 @@
 // wants tells a proxy of what is stored, where what it was to be told is older than a removal.
 func (c *Core) wants(w park.Wants) {
 	if id, st := c.of(w.Proxy, w.Visit); st != nil {
-		d := c.document(c.stored, id)
-		c.keep(d)
-		if d.Step > st.doc.Step {
-			st.doc = d
-		}
-		c.out = append(c.out, park.Tell{Proxy: w.Proxy, Visit: w.Visit, Doc: d})
+		c.tell(st, c.document(c.stored, id)) // if it is no news, the word of it is on its way to the lot
 	}
 }
 
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -25,9 +25,6 @@
 // follow reads the file anew at each signal, one after the other: a signal that comes meanwhile is met by one more reading. A file
 // that is wrong changes nothing.
 func (a Again) follow(ctx context.Context, was map[string]string, front *longpoll.Server, st *store.Store, ledger *budget.Ledger, log *slog.Logger) {
-	if a.Signal == nil {
-		return
-	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -123,6 +123,7 @@
 func (s *Server) accept(c netpoll.Connection) context.Context {
 	p := &peer{id: budget.Client(s.serial.Add(1) << 1), conn: c, since: time.Now()}
 	s.open.Add(1)
+	s.budget.Opened()
 	s.peers.Store(p.id, p)
 	c.AddCloseCallback(func(netpoll.Connection) error {
 		s.peers.Delete(p.id)
--- a/internal/mqtt/server.go
+++ b/internal/mqtt/server.go
@@ -128,6 +128,7 @@
 func (s *Server) accept(c netpoll.Connection) context.Context {
 	p := &peer{conn: c, id: subscribe.Conn(s.serial.Add(1)), heard: time.Now(), keepAlive: s.limits.Connect}
 	s.open.Add(1)
+	s.limits.Budget.Opened()
 	s.peers.Store(p.id, p)
 	c.AddCloseCallback(func(netpoll.Connection) error {
 		s.open.Add(-1)
--- a/internal/nets/socket.go
+++ b/internal/nets/socket.go
@@ -11,11 +11,8 @@
 	"github.com/cloudwego/netpoll"
 )
 
-// Gate says whether one more connection may be accepted, and hears of each that was. Began says that it is shut now.
-type Gate interface {
-	May() (may, began bool)
-	Opened()
-}
+// Gate says whether one more connection may be accepted. Began says that it is shut from now on.
+type Gate interface{ May() (may, began bool) }
 
 // gated pauses accepting where its gate is shut or the system has no more descriptors: netpoll takes the listener out of its loop
 // then, and looks at it again after up to a second. Those who connect wait in the kernel's queue meanwhile.
@@ -33,12 +30,9 @@
 		return nil, syscall.EMFILE
 	}
 	c, err := g.Listener.Accept()
-	switch {
-	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 		g.log.Error("accept.paused", "listen", g.Addr().String(), "why", "the system has no more descriptors")
 		return nil, syscall.EMFILE
-	case c != nil:
-		g.gate.Opened()
 	}
 	return c, err
 }
