--- a/cmd/vetchwood/main.go
+++ b/cmd/vetchwood/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"vetchwood/internal/platform"
 	"vetchwood/internal/settings"
 )
 
@@ -28,6 +29,7 @@
 		Format string `help:"Form of the log on standard error: text or json." enum:"text,json" default:"text"`
 	} `embed:"" prefix:"log-"`
 
+	Platform platformCmd `cmd:"" help:"Run a director in service on the platform, as GW_CONFIG says."`
 	Run      runCmd      `cmd:"" help:"Run a director: lay tables, publish them to proxies that poll."`
 	Relay    relayCmd    `cmd:"" help:"Run a proxy: follow a director's tables and carry calls by them."`
 	Check    checkCmd    `cmd:"" help:"Validate a director's file and print what follows from it."`
@@ -40,7 +42,10 @@
 	Rehearse rehearseCmd `cmd:"" help:"Raise a director and stand-ins on this machine and play a day."`
 }
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	catch(os.Args[1:])
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
 
 func run(args []string, out, errs io.Writer) int {
 	var p program
@@ -78,6 +83,7 @@
 	ctx.Bind(slog.New(handler), &p)
 	err = ctx.Run()
 	var invalid *settings.Invalid
+	var config *platform.Invalid
 	switch {
 	case err == nil || errors.Is(err, context.Canceled):
 		return 0
@@ -86,7 +92,7 @@
 			fmt.Fprintln(errs, line)
 		}
 		return exitUsage
-	case errors.Is(err, os.ErrNotExist), errors.Is(err, errUsage):
+	case errors.Is(err, os.ErrNotExist), errors.As(err, &config), errors.Is(err, errUsage):
 		fmt.Fprintln(errs, "vetchwood:", err)
 		return exitUsage
 	default:
--- /dev/null
+++ b/cmd/vetchwood/platform.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"vetchwood/internal/platform"
+)
+
+// caught are the signals of a director in service. They are asked for before anything else is done: one that came earlier than its
+// handler would end the process.
+var caught = make(chan os.Signal, 8)
+
+func catch(args []string) {
+	if slices.Contains(args, "platform") {
+		signal.Notify(caught, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	}
+}
+
+type platformCmd struct{}
+
+func (c *platformCmd) Run(log *slog.Logger) error {
+	return platform.Run(context.Background(), os.Getenv, caught, log)
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -15,6 +15,7 @@
 	"vetchwood/internal/inflow"
 	"vetchwood/internal/park"
 	"vetchwood/internal/tables"
+	"vetchwood/internal/turns"
 	"vetchwood/logic"
 )
 
@@ -32,12 +33,12 @@
 
 // Director is a running one.
 type Director struct {
+	turns.Clock
+	*turns.Inbox
 	core    *control.Core
 	store   Store
 	probe   Prober
 	log     *slog.Logger
-	epoch   time.Time
-	offset  float64
 	fronts  []Front
 	running chan struct{} // closed once fronts are there
 	bays    []*bay
@@ -47,12 +48,8 @@
 	tickets atomic.Uint64
 	askers  sync.Map // control.Ticket -> chan control.Answer
 
-	mu     sync.Mutex
-	box    []any
-	since  time.Time // the oldest in the box came
 	door   *inflow.Door
 	doorMu sync.Mutex
-	wake   chan struct{}
 	opens  tables.Step // the version that this start begins with
 	seen   atomic.Pointer[control.Figures]
 	slow   atomic.Int64 // longest turn of the loop, in microseconds
@@ -77,9 +74,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Director{store: store, probe: probe, log: log, epoch: time.Now(), wake: make(chan struct{}, 1),
+	d := &Director{store: store, probe: probe, log: log, Clock: turns.NewClock(), Inbox: turns.NewInbox(),
 		line: saved.Line, door: inflow.NewDoor(rand.Float64), writes: make(chan control.Change, 4096), running: make(chan struct{})}
-	d.offset = float64(d.epoch.UnixMicro()) / 1000
 	d.bays = newBays(svc, d.Now())
 	d.core, d.first = control.New(rand.Uint64(), d.Now(), svc, saved)
 	f := d.core.Figures()
@@ -99,11 +95,6 @@
 // Peers says how other directors are asked for what they know. It is called before Run.
 func (d *Director) Peers(ask func(context.Context)) { d.peers = ask }
 
-// Now is the module's time: Unix milliseconds at the start, and from then on by the steady clock.
-func (d *Director) Now() logic.Millis {
-	return logic.Millis(d.offset + float64(time.Since(d.epoch).Nanoseconds())/1e6)
-}
-
 // Entrance is what a front sees of a director: its tickets bear the front's place among those that Run is given.
 type Entrance struct {
 	*Director
@@ -143,18 +134,7 @@
 	}
 }
 
-func (d *Director) post(in ...any) {
-	d.mu.Lock()
-	if len(d.box) == 0 {
-		d.since = time.Now()
-	}
-	d.box = append(d.box, in...)
-	d.mu.Unlock()
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
-}
+func (d *Director) post(in ...any) { d.Inbox.Post(in...) }
 
 // turned tells the door how long what came had to wait for its turn.
 func (d *Director) turned(in []any, waited time.Duration) {
@@ -163,7 +143,7 @@
 	}
 	d.doorMu.Lock()
 	defer d.doorMu.Unlock()
-	d.door.Turn(time.Since(d.epoch), waited, len(in))
+	d.door.Turn(d.Elapsed(), waited, len(in))
 }
 
 // Admit says after how long a request that is no poll may come again, where its client asks too often or the director has more to do
@@ -172,7 +152,7 @@
 	if client != "" {
 		b := d.bay(client)
 		b.mu.Lock()
-		in, later := b.allow.Admit(time.Since(d.epoch), client)
+		in, later := b.allow.Admit(d.Elapsed(), client)
 		b.mu.Unlock()
 		if !in {
 			return later
@@ -185,15 +165,14 @@
 	if k >= inflow.Polls || openDoor {
 		return 0
 	}
-	d.mu.Lock()
-	q := inflow.Queue{Length: len(d.box)}
-	if q.Length > 0 {
-		q.Standing = time.Since(d.since) - batchFor
+	length, since := d.Queue()
+	q := inflow.Queue{Length: length}
+	if length > 0 {
+		q.Standing = time.Since(since) - batchFor
 	}
-	d.mu.Unlock()
 	d.doorMu.Lock()
 	defer d.doorMu.Unlock()
-	if in, later := d.door.Admit(time.Since(d.epoch), k, q); !in {
+	if in, later := d.door.Admit(d.Elapsed(), k, q); !in {
 		return later
 	}
 	return 0
@@ -251,25 +230,16 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
-		case <-d.wake:
+		case <-d.Wake():
 			if !more {
 				time.Sleep(batchFor)
 			}
 		case err := <-stored:
 			return err
 		}
-		d.mu.Lock()
-		in, since := d.box, d.since
-		d.box = nil
-		if more = len(in) > mostTurn; more {
-			// The module's beat must not wait for a whole fleet. What stays is as old as what goes, near enough.
-			in, d.box = in[:mostTurn], append([]any(nil), in[mostTurn:]...)
-			select {
-			case d.wake <- struct{}{}:
-			default:
-			}
-		}
-		d.mu.Unlock()
+		var in []any
+		var since time.Time
+		in, since, more = d.Take(mostTurn) // the module's beat must not wait for a whole fleet
 		began := time.Now()
 		d.turned(in, began.Sub(since)-batchFor)
 		now := d.Now()
@@ -283,7 +253,7 @@
 		if took := time.Since(began).Microseconds(); took > d.slow.Load() {
 			d.slow.Store(took)
 		}
-		timer.Reset(max(0, time.Duration(float64(d.core.Wake()-d.Now())*float64(time.Millisecond))))
+		timer.Reset(d.Until(d.core.Wake()))
 	}
 	close(d.writes)
 	return <-stored
--- a/internal/director/lots.go
+++ b/internal/director/lots.go
@@ -96,7 +96,7 @@
 	<-d.running
 	b := d.bay(p.Proxy)
 	b.mu.Lock()
-	in, later := b.allow.Admit(time.Since(d.epoch), p.Proxy)
+	in, later := b.allow.Admit(d.Elapsed(), p.Proxy)
 	joined := b.lot.Knows(p.Proxy)
 	b.mu.Unlock()
 	if !in && !openDoor {
--- /dev/null
+++ b/internal/nets/dial.go
@@ -0,0 +1,29 @@
+package nets
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Conn is a connection that we opened. Active says whether the other side has closed it, as far as is known.
+type Conn interface {
+	net.Conn
+	IsActive() bool
+}
+
+// Dial opens a connection, within that time.
+func Dial(address string, within time.Duration) (Conn, error) {
+	return netpoll.NewDialer().DialConnection("tcp", address, within)
+}
+
+// DialContext is the same where the context ends the time.
+func DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	within := 10 * time.Second
+	if until, some := ctx.Deadline(); some {
+		within = max(time.Millisecond, time.Until(until))
+	}
+	return Dial(address, within)
+}
--- /dev/null
+++ b/internal/platform/codec/orders.go
@@ -0,0 +1,82 @@
+package codec
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"vetchwood/internal/platform/outbox"
+	"vetchwood/logic"
+)
+
+// Op turns an order into what the relay is told. What is no order for the relay gives false.
+func (n *Names) Op(o logic.Order, h *Hosts) (op outbox.Op, relays bool, err error) {
+	var text []byte
+	verb := func(name string) { text = append(text, `{"verb":"`+name+`"`...) }
+	host := func(id logic.HostID) {
+		name := h.NameOf(id)
+		if name == "" {
+			err = fmt.Errorf("an order for host %d, which has no name", id)
+		}
+		quoted, _ := json.Marshal(name)
+		text = append(append(text, `,"endpoint":`...), quoted...)
+	}
+	table := func(t logic.TableID) {
+		if t != logic.EveryTable { // left out, it is all
+			text = strconv.AppendInt(append(text, `,"cluster":`...), int64(t), 10)
+		}
+	}
+	number := func(field string, v float64) {
+		text = append(text, `,"`+field+`":`...)
+		text = strconv.AppendFloat(text, v, 'f', -1, 64)
+	}
+	op.Table = outbox.NoTable
+	switch o := o.(type) {
+	case logic.SetLine:
+		verb("share")
+		table(o.Table)
+		host(o.Host)
+		number("w", o.Weight)
+		op.Table, op.Host, op.Weight, op.Kind = o.Table, o.Host, o.Weight, outbox.Line
+	case logic.DropLines:
+		verb("clear")
+		table(o.Table)
+		op.Table, op.Kind = o.Table, outbox.Clear
+	case logic.Mask:
+		if verb("restore"); o.Out {
+			text = text[:0]
+			verb("withdraw")
+		}
+		host(o.Host)
+		op.Host, op.Kind = o.Host, outbox.Mask
+	case logic.Throttle:
+		verb("admit")
+		table(o.Table)
+		var routes []string
+		for i, name := range n.Routes {
+			if o.Routes&(1<<i) != 0 {
+				routes = append(routes, name)
+			}
+		}
+		if o.Routes != 0 && len(routes) < len(n.Routes) {
+			quoted, _ := json.Marshal(routes)
+			text = append(append(text, `,"classes":`...), quoted...)
+		}
+		number("level", o.Level)
+		number("retry", float64(o.Tries))
+		if op.Kind, op.Routes = outbox.Level, o.Routes; o.Table != logic.EveryTable {
+			op.Table = o.Table
+		}
+	case logic.Stamp:
+		verb("mark")
+		number("ticket", float64(o.Serial))
+		number("set", 0)
+		if op.Kind, op.Serial = outbox.Mark, o.Serial; o.All {
+			text[len(text)-1] = '1'
+		}
+	default:
+		return op, false, nil
+	}
+	op.Text = string(append(text, '}'))
+	return op, true, err
+}
--- /dev/null
+++ b/internal/platform/news/news.go
@@ -0,0 +1,238 @@
+// Package news keeps which proxies have joined and what the store holds of the slices in our charge, as the relay tells it, and
+// turns what changed into notes. Each subscription begins with the present state; what was known and is not in it is gone. No
+// I/O, no clock: times are handed in.
+package news
+
+import (
+	"maps"
+	"slices"
+
+	"vetchwood/internal/platform/codec"
+	"vetchwood/internal/platform/outbox"
+	"vetchwood/logic"
+)
+
+// gatherFor is how long a slice that was just given waits for more of its lines: the module takes custody and lines together, and
+// the network may deliver them in pieces. A line that comes later still tells the slice anew.
+const gatherFor logic.Millis = 25
+
+type table = map[logic.HostID]float64
+
+type slice struct {
+	lines    table // as the store has them, as far as we know
+	told     bool  // the module has heard of it
+	touched  bool  // orders for it ended since the present state began
+	since    logic.Millis
+	gathered table // lines told since it was given; nil: not being given
+	fresh    bool  // given anew, whatever was known of it
+}
+
+// Book is that of one director.
+type Book struct {
+	proxies map[logic.ProxyID]logic.Joined
+	slices  map[logic.TableID]*slice
+
+	present    bool // the present state is being told
+	continuous bool // nothing can have been missed before it
+	seen       map[logic.ProxyID]bool
+	given      map[logic.TableID]bool
+	// Forgotten is told of each slice whose waiting orders are void.
+	Forgotten func(logic.TableID)
+}
+
+func New() *Book {
+	return &Book{proxies: map[logic.ProxyID]logic.Joined{}, slices: map[logic.TableID]*slice{}, Forgotten: func(logic.TableID) {}}
+}
+
+// Figures are how many proxies have joined and slices are in our charge.
+func (b *Book) Figures() (proxies, slices int) { return len(b.proxies), len(b.slices) }
+
+// Begin says that a subscription was taken and that the present state follows. Continuous: the one before it carried all news up
+// to now, so that nobody left and came back unseen.
+func (b *Book) Begin(continuous bool) {
+	b.present, b.continuous = true, continuous
+	b.seen, b.given = map[logic.ProxyID]bool{}, map[logic.TableID]bool{}
+	for _, s := range b.slices {
+		s.touched, s.gathered = false, nil
+	}
+}
+
+// Take takes one piece of news and gives the notes that follow from it and from what was gathered before it.
+func (b *Book) Take(now logic.Millis, in codec.News) (notes []any) {
+	if held, is := in.Note.(logic.OnRecord); is {
+		return b.held(now, held)
+	}
+	if custody, is := in.Note.(logic.Custody); is && custody.Given {
+		return b.give(now, custody.Slice)
+	}
+	if _, is := in.Note.(logic.Joined); !is {
+		// Only these three tell the present state: anything else comes behind it.
+		notes = append(b.Gathered(now, true), b.end()...)
+	}
+	switch n := in.Note.(type) {
+	case logic.Joined:
+		notes = append(notes, b.join(n)...)
+	case logic.Left:
+		if _, known := b.proxies[n.Proxy]; known {
+			delete(b.proxies, n.Proxy)
+			notes = append(notes, n)
+		}
+	case logic.Custody:
+		notes = append(notes, b.lose(n.Slice)...)
+	case logic.Applied:
+		if _, known := b.proxies[n.Proxy]; known {
+			notes = append(notes, n)
+		}
+	}
+	return notes
+}
+
+// join tells of a proxy. One that was there before a gap may have left and come back in it, without the masks and levels that
+// were written meanwhile: the module hears that it left and came. Within a whole run of news it is the same proxy still.
+func (b *Book) join(n logic.Joined) (notes []any) {
+	was, known := b.proxies[n.Proxy]
+	b.proxies[n.Proxy] = n
+	if b.present {
+		first := !b.seen[n.Proxy]
+		if b.seen[n.Proxy] = true; known && first && b.continuous && !n.Fresh && was.Zone == n.Zone {
+			return nil
+		}
+	}
+	if known {
+		notes = append(notes, logic.Left{Proxy: n.Proxy})
+	}
+	return append(notes, n)
+}
+
+func (b *Book) give(now logic.Millis, t logic.TableID) (notes []any) {
+	s := b.slices[t]
+	if s == nil {
+		s = &slice{lines: table{}}
+		b.slices[t] = s
+	}
+	if s.fresh = !b.present || !s.told; b.present {
+		b.given[t] = true
+	}
+	s.since, s.gathered = now, table{}
+	return nil
+}
+
+func (b *Book) held(now logic.Millis, n logic.OnRecord) []any {
+	s := b.slices[n.Slice]
+	if s == nil {
+		return nil // a line of what is not ours
+	}
+	if s.gathered == nil { // it comes late
+		s.gathered, s.fresh = maps.Clone(s.lines), true
+		if s.gathered == nil {
+			s.gathered = table{}
+		}
+	}
+	s.since = now
+	s.gathered[n.Host] = n.Weight
+	return nil
+}
+
+func (b *Book) lose(t logic.TableID) (notes []any) {
+	if s := b.slices[t]; s != nil {
+		delete(b.slices, t)
+		b.Forgotten(t)
+		if s.told {
+			notes = append(notes, logic.Custody{Slice: t})
+		}
+	}
+	return notes
+}
+
+// Gathering says until when lines of a given slice are waited for; 0: none is being given.
+func (b *Book) Gathering() (until logic.Millis) {
+	for _, s := range b.slices {
+		if s.gathered != nil && (until == 0 || s.since+gatherFor < until) {
+			until = s.since + gatherFor
+		}
+	}
+	return until
+}
+
+// Gathered tells the slices that have been quiet for long enough, or all of them.
+func (b *Book) Gathered(now logic.Millis, all bool) (notes []any) {
+	for _, t := range slices.Sorted(maps.Keys(b.slices)) {
+		s := b.slices[t]
+		if s.gathered == nil || !all && now < s.since+gatherFor {
+			continue
+		}
+		lines := s.gathered
+		s.gathered = nil
+		// What stands as we know it is no news, and would cost the module all it has heard of the slice. Where our own orders
+		// ended while the state was told, it may be older than they are.
+		if !s.fresh && s.told && (s.touched || maps.Equal(lines, s.lines)) {
+			continue
+		}
+		s.lines, s.told = lines, true
+		b.Forgotten(t)
+		notes = append(notes, b.Retell(t)...)
+	}
+	return notes
+}
+
+// Retell are the notes that tell the module of a slice as the store has it.
+func (b *Book) Retell(t logic.TableID) (notes []any) {
+	s := b.slices[t]
+	if s == nil || !s.told {
+		return nil
+	}
+	notes = append(notes, logic.Custody{Slice: t, Given: true})
+	for _, h := range slices.Sorted(maps.Keys(s.lines)) {
+		notes = append(notes, logic.OnRecord{Slice: t, Host: h, Weight: s.lines[h]})
+	}
+	return notes
+}
+
+// end closes the present state: whoever was not in it has left, and slices that were not in it were taken.
+func (b *Book) end() (notes []any) {
+	if !b.present {
+		return nil
+	}
+	b.present = false
+	for _, p := range slices.Sorted(maps.Keys(b.proxies)) {
+		if !b.seen[p] {
+			delete(b.proxies, p)
+			notes = append(notes, logic.Left{Proxy: p})
+		}
+	}
+	for _, t := range slices.Sorted(maps.Keys(b.slices)) {
+		if !b.given[t] {
+			notes = append(notes, b.lose(t)...)
+		}
+	}
+	return notes
+}
+
+// Taken says which orders the relay has carried out.
+func (b *Book) Taken(ops []outbox.Op) {
+	for _, o := range ops {
+		s := b.slices[o.Table]
+		if s == nil {
+			continue
+		}
+		s.touched = true
+		switch {
+		case o.Kind == outbox.Clear:
+			s.lines = table{}
+		case o.Kind == outbox.Line && o.Weight > 0:
+			s.lines[o.Host] = o.Weight
+		case o.Kind == outbox.Line:
+			delete(s.lines, o.Host)
+		}
+	}
+}
+
+// Rejoin are the notes that tell the module of all proxies as if they came anew: what it wrote to them may not have reached them.
+func (b *Book) Rejoin() (notes []any) {
+	for _, p := range slices.Sorted(maps.Keys(b.proxies)) {
+		n := b.proxies[p]
+		n.Fresh = false
+		notes = append(notes, logic.Left{Proxy: p}, n)
+	}
+	return notes
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,363 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"vetchwood/internal/budget"
+	"vetchwood/internal/platform/codec"
+	"vetchwood/internal/platform/collect"
+	"vetchwood/internal/platform/news"
+	"vetchwood/internal/platform/outbox"
+	"vetchwood/internal/platform/uplink"
+	"vetchwood/internal/platform/watch"
+	"vetchwood/internal/turns"
+	"vetchwood/logic"
+)
+
+const (
+	callBytes   = 59_000 // of orders; the relay takes 60,000
+	mostWaiting = 20_000 // orders that wait for the relay
+	leaveFor    = 300 * time.Millisecond
+	figuresFor  = 5 * time.Second
+)
+
+// director is a running one. All but the inbox belongs to the goroutine of run.
+type director struct {
+	turns.Clock
+	inbox  *turns.Inbox
+	log    *slog.Logger
+	start  *Start
+	module *logic.Director
+	hosts  *codec.Hosts
+	box    *outbox.Box
+	book   *news.Book
+	calls  *uplink.Calls
+	probes *prober
+	front  *collect.Server
+	timers timers
+
+	calling  bool
+	relay    string       // where calls go from now on
+	source   int          // of the news that are taken; 0: none
+	alive    bool         // that source has not broken
+	serial   atomic.Int64 // of the last subscription
+	follow   context.CancelFunc
+	leaving  []follower // of former addresses, until the new one serves
+	watching context.CancelFunc
+	notes    []any
+	counts   counts
+	slow     time.Duration // the longest turn
+}
+
+type follower struct {
+	address string
+	end     context.CancelFunc
+}
+
+type counts struct {
+	calls, unsure, unsent, later, refused, taken uint64
+	begun, broke, lists                          int
+}
+
+// Run is a director's life: until SIGTERM, or something that it can't do without fails. SIGHUP has the configuration read anew.
+func Run(ctx context.Context, env func(string) string, signals <-chan os.Signal, log *slog.Logger) error {
+	s, err := Load(env)
+	if err != nil {
+		return err
+	}
+	log = log.With("director", s.Name)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ledger := limit(s)
+	d := newDirector(s, log)
+	if d.front, err = collect.Listen(s.Listen, s.Names, ledger, d.inbox.Post, log); err != nil {
+		return fmt.Errorf("listen %s: %w", s.Listen, err)
+	}
+	defer d.front.Close()
+	failed := make(chan error, 1)
+	go func() { failed <- d.front.Serve() }()
+	go live(ctx, ledger)
+	d.calls = uplink.NewCalls(s.Names, d.inbox.Post, log)
+	go d.calls.Run(ctx)
+	d.probes = newProber(ctx, s.Names, d.inbox.Post)
+	d.connect(ctx, s)
+	log.Info("director.started", "listen", s.Listen, "discovery", s.Discovery, "relay", s.Relay, "hosts", len(s.Known.Endpoints),
+		"slices", s.Facts.Slices, "proxies", s.Facts.Proxies, "cores", s.Cores, "memory", s.Memory, "sockets", s.Sockets,
+		"after", d.Elapsed().String())
+	return d.run(ctx, env, signals, failed)
+}
+
+func newDirector(s *Start, log *slog.Logger) *director {
+	d := &director{Clock: turns.NewClock(), inbox: turns.NewInbox(), log: log, start: s, hosts: codec.NewHosts(),
+		box: outbox.New(outbox.Limits{CallBytes: callBytes, Waiting: mostWaiting}), book: news.New(),
+		module: logic.New(s.Seed, s.Facts)}
+	d.book.Forgotten = d.box.Forget
+	r, wrong := d.hosts.Roster(s.Known, logic.FromDisk, s.Names)
+	d.wrong("known", wrong)
+	d.notes = append(d.notes, r)
+	return d
+}
+
+// live tells the ledger how much is live.
+func live(ctx context.Context, ledger *budget.Ledger) {
+	for ctx.Err() == nil {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		ledger.Heap(int64(m.HeapAlloc))
+		turns.Pause(ctx, time.Second)
+	}
+}
+
+// connect follows the addresses of a configuration. A former relay's news go on until the new one's are there.
+func (d *director) connect(ctx context.Context, s *Start) {
+	if d.follow == nil || d.relay != s.Relay {
+		if d.follow != nil {
+			d.leaving = append(d.leaving, follower{d.relay, d.follow})
+		}
+		news, end := context.WithCancel(ctx)
+		d.relay, d.follow = s.Relay, end
+		go uplink.Follow(news, s.Relay, s.Names, func() int { return int(d.serial.Add(1)) }, d.inbox.Post, d.log)
+	}
+	if d.watching == nil || d.start.Discovery != s.Discovery {
+		if d.watching != nil {
+			d.watching()
+		}
+		list, end := context.WithCancel(ctx)
+		d.watching = end
+		go watch.Follow(list, s.Discovery, d.inbox.Post, d.log)
+	}
+	d.start = s
+}
+
+// run is the loop.
+func (d *director) run(ctx context.Context, env func(string) string, signals <-chan os.Signal, failed <-chan error) error {
+	timer, figures := time.NewTimer(0), time.NewTicker(figuresFor)
+	defer timer.Stop()
+	defer figures.Stop()
+	gather := time.Duration(float64(d.start.Resolution) * float64(time.Millisecond))
+	var ends <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return fmt.Errorf("listen %s: %w", d.start.Listen, err)
+		case <-ends:
+			return nil
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				d.reload(ctx, env)
+				break
+			}
+			d.log.Info("director.stopping", "signal", sig.String(), "waiting", d.box.Waiting())
+			if !d.calling && d.box.Waiting() == 0 {
+				return nil
+			}
+			ends = time.After(leaveFor)
+		case <-figures.C:
+			d.figures()
+		case <-d.inbox.Wake():
+			time.Sleep(gather) // for company
+		case <-timer.C:
+		}
+		began := time.Now()
+		d.turn()
+		d.slow = max(d.slow, time.Since(began))
+		if ends != nil && !d.calling && d.box.Waiting() == 0 {
+			return nil
+		}
+		timer.Reset(d.wakeAfter())
+	}
+}
+
+func (d *director) wakeAfter() time.Duration {
+	next, some := d.timers.next()
+	if until := d.book.Gathering(); until > 0 && (!some || until < next) {
+		next, some = until, true
+	}
+	if !some {
+		return time.Second
+	}
+	return d.Until(next)
+}
+
+// turn hands the module all that has happened and carries out what it orders.
+func (d *director) turn() {
+	in, _, _ := d.inbox.Take(0)
+	now := d.Now()
+	for _, x := range in {
+		d.take(now, x)
+	}
+	d.notes = append(d.notes, d.book.Gathered(now, false)...)
+	for _, t := range d.timers.due(now) {
+		d.notes = append(d.notes, logic.Due{Timer: t})
+	}
+	if notes := d.notes; len(notes) > 0 {
+		d.notes = nil
+		d.carryOut(now, d.module.Handle(now, notes))
+	}
+	d.call()
+}
+
+func (d *director) take(now logic.Millis, x any) {
+	switch x := x.(type) {
+	case codec.Message:
+		if x.Host != "" && !d.hosts.Known(codec.ID(x.Host)) {
+			d.counts.refused++
+			return // a report on a host that was never listed
+		}
+		d.notes = append(d.notes, x.Note)
+	case watch.Told:
+		d.counts.lists++
+		r, wrong := d.hosts.Roster(x.List, logic.Whole, d.start.Names)
+		d.wrong("discovery", wrong)
+		d.notes = append(d.notes, r)
+		for _, e := range x.Endpoints {
+			d.log.Debug("host.listed", "host", e.Name, "status", e.Status, "since_ms", e.Since, "whole", x.Snapshot)
+		}
+	case logic.Probed:
+		delete(d.probes.asked, x.Host)
+		d.notes = append(d.notes, x)
+	case uplink.Ended:
+		d.ended(x)
+	case uplink.Began:
+		d.subscribed(x)
+	case uplink.News:
+		if x.Source == d.source {
+			d.news(now, x.News)
+		}
+	case uplink.Broke:
+		d.log.Warn("news.broke", "source", x.Source, "why", x.Why)
+		if d.counts.broke++; x.Source == d.source {
+			d.alive = false
+		}
+	default:
+		panic(fmt.Sprintf("%T in the inbox", x))
+	}
+}
+
+func (d *director) wrong(where string, errs []error) {
+	for _, err := range errs {
+		d.log.Warn("host.dropped", "where", where, "error", err)
+	}
+}
+
+func (d *director) news(now logic.Millis, n codec.News) {
+	if n.Host != "" {
+		if _, err := d.hosts.Name(n.Host); err != nil {
+			d.log.Warn("news.dropped", "error", err)
+			return
+		}
+	}
+	d.notes = append(d.notes, d.book.Take(now, n)...)
+}
+
+// carryOut takes the module's orders: timers and probes here, the rest to the relay, as one call.
+func (d *director) carryOut(now logic.Millis, orders []logic.Order) {
+	var ops []outbox.Op
+	for _, o := range orders {
+		switch o := o.(type) {
+		case logic.After:
+			d.timers.add(now+o.In, o.Timer)
+		case logic.Ping:
+			d.probes.ask(o.Host, d.hosts.Address(o.Host))
+		case logic.Say:
+			d.log.Info("module", "says", o.Text)
+		case logic.Follow, logic.Pull, logic.Tell:
+			// The list is always followed, and directors here have no way to each other.
+		default:
+			op, relays, err := d.start.Names.Op(o, d.hosts)
+			if err != nil || !relays {
+				d.log.Error("order.dropped", "order", fmt.Sprintf("%T%+v", o, o), "error", err)
+				continue
+			}
+			ops = append(ops, op)
+		}
+	}
+	if len(ops) == 0 {
+		return
+	}
+	d.log.Debug("orders", "ops", len(ops), "waiting", d.box.Waiting())
+	if dropped, err := d.box.Add(ops); err != nil {
+		d.log.Error("orders.dropped", "error", err, "orders", len(dropped))
+		d.untold(dropped)
+	}
+}
+
+// untold tells the module of what was dropped: it hears once more what the store holds, and takes those tables for it.
+func (d *director) untold(ops []outbox.Op) {
+	told := map[logic.TableID]bool{}
+	all := false
+	for _, o := range ops {
+		if all = all || o.Table == outbox.NoTable && o.Kind != outbox.Mark; o.Table != outbox.NoTable && !told[o.Table] {
+			told[o.Table] = true
+			d.box.Forget(o.Table)
+			d.notes = append(d.notes, d.book.Retell(o.Table)...)
+		}
+	}
+	if all { // masks and levels: proxies count as come anew
+		d.notes = append(d.notes, d.book.Rejoin()...)
+	}
+}
+
+// call makes the next call, if none is on its way.
+func (d *director) call() {
+	if d.calling {
+		return
+	}
+	if c := d.box.Next(); c != nil {
+		if c.Again() {
+			d.log.Debug("call.again", "id", c.ID, "ops", len(c.Ops))
+		}
+		d.calling = true
+		d.counts.calls++
+		d.calls.Make(d.relay, c)
+	}
+}
+
+func (d *director) ended(e uplink.Ended) {
+	d.calling = false
+	switch e.How {
+	case outbox.Unsure:
+		d.counts.unsure++
+	case outbox.Unsent:
+		d.counts.unsent++
+	case outbox.Later:
+		d.counts.later++
+	}
+	if e.How != outbox.Answered {
+		d.log.Info("call.failed", "id", e.ID, "how", int(e.How), "why", e.Why, "spent", e.Spent.String(), "waiting", d.box.Waiting())
+	}
+	out := d.box.Ended(e.How, e.Taken)
+	d.counts.taken += uint64(len(out.Taken))
+	d.book.Taken(out.Taken)
+	for _, o := range out.Dropped {
+		d.counts.refused++
+		d.log.Error("order.refused", "order", o.Text, "why", e.Why)
+	}
+	d.untold(out.Dropped)
+}
+
+// reload reads the configuration anew. Calls that wait go to the new relay once the one in hand has ended.
+func (d *director) reload(ctx context.Context, env func(string) string) {
+	s, err := Load(env)
+	if err != nil {
+		d.log.Error("reload.refused", "error", err)
+		return
+	}
+	if s.Listen != d.start.Listen || s.Name != d.start.Name {
+		d.log.Warn("reload.kept", "listen", d.start.Listen, "name", d.start.Name, "why", "they take a restart")
+		s.Listen, s.Name = d.start.Listen, d.start.Name
+	}
+	s.Facts, s.Names, s.Resolution = d.start.Facts, d.start.Names, d.start.Resolution
+	d.log.Info("reload.taken", "discovery", s.Discovery, "relay", s.Relay)
+	limit(s)
+	d.connect(ctx, s)
+}
--- /dev/null
+++ b/internal/platform/probe.go
@@ -0,0 +1,77 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"vetchwood/internal/platform/codec"
+	"vetchwood/internal/platform/watch"
+	"vetchwood/logic"
+)
+
+const (
+	probeFor   = time.Second
+	mostProbes = 8 // at once
+	mostAsked  = 64
+	mostReport = 4 << 10
+)
+
+// prober asks hosts for their health, few at once and each host once at a time.
+type prober struct {
+	names  *codec.Names
+	client *http.Client
+	asked  map[logic.HostID]bool
+	todo   chan probe
+	post   func(...any)
+}
+
+type probe struct {
+	host    logic.HostID
+	address string
+}
+
+func newProber(ctx context.Context, names *codec.Names, post func(...any)) *prober {
+	p := &prober{names: names, client: watch.Client(0), asked: map[logic.HostID]bool{}, todo: make(chan probe, mostAsked), post: post}
+	for range mostProbes {
+		go func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case t := <-p.todo:
+					post(p.probe(ctx, t))
+				}
+			}
+		}()
+	}
+	return p
+}
+
+// ask is called by the loop alone. A host that is being asked, or has no address, or one too many, is not asked; the module asks
+// again by itself.
+func (p *prober) ask(host logic.HostID, address string) {
+	if address == "" || p.asked[host] {
+		return
+	}
+	select {
+	case p.todo <- probe{host, address}:
+		p.asked[host] = true
+	default:
+	}
+}
+
+func (p *prober) probe(ctx context.Context, t probe) logic.Probed {
+	began, page := time.Now(), "/health"
+	if p.names.Loads() {
+		page = "/status/load"
+	}
+	out := logic.Probed{Host: t.host}
+	status, body, err := watch.Get(ctx, p.client, "http://"+t.address+page, probeFor, mostReport)
+	out.Good = err == nil && status == http.StatusOK
+	if out.Good && p.names.Loads() {
+		out.Load, _ = p.names.Load(string(body)) // what can't be read is no report; the host answers all the same
+	}
+	out.Spent = logic.Millis(float64(time.Since(began).Nanoseconds()) / 1e6)
+	return out
+}
--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -16,6 +16,7 @@
 
 	"vetchwood/internal/control"
 	"vetchwood/internal/tables"
+	"vetchwood/internal/turns"
 	"vetchwood/logic"
 )
 
@@ -52,7 +53,7 @@
 			}
 			log.Warn("roster.failed", "error", err, "failures", failures)
 			index = 0
-			pause(ctx, time.Duration(float64(min(failures, 10))*(0.5+rand.Float64())*float64(100*time.Millisecond)))
+			turns.Pause(ctx, turns.Backoff(failures, 100*time.Millisecond, rand.Float64()))
 			continue
 		}
 		failed := failures >= 2
@@ -69,19 +70,12 @@
 			told, first = hosts, false
 		}
 		if spent := time.Since(began); index == 0 && spent < 100*time.Millisecond {
-			pause(ctx, 100*time.Millisecond-spent) // a server that never blocks is not asked without end
+			turns.Pause(ctx, 100*time.Millisecond-spent) // a server that never blocks is not asked without end
 		}
 	}
 	return ctx.Err()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func read(entries []*api.ServiceEntry, log *slog.Logger) (out []control.Listed) {
 	for _, e := range entries {
 		if e.Service == nil {
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -10,13 +10,15 @@
 
 // settings is the part of Facts on the wire that decisions can use.
 type settings struct {
+	Dcs, HostTypes      []string
+	ResolutionMs        float64
 	Me, Balancers, Zone int
 	MembershipMode      string
 	Weights             string
 	Bounds              struct{ MayProbe, Peers bool }
 	Classes             []struct {
 		DeadlineMs, TargetMs, MemorySpanMs, LateShare, Worth float64
-		Group, Repeat                                        string
+		Group, Name, Repeat                                  string
 	}
 	Report struct {
 		Columns []string
@@ -37,11 +39,25 @@
 	}
 }
 
-func facts(o *object) logic.Facts {
+// Names are those of the settings, each at its index, and the shortest gap between batches.
+type Names struct {
+	Routes, Zones, Kinds []string
+	Resolution           logic.Millis
+}
+
+// Facts reads the settings of a start where they stand by themselves.
+func Facts(text json.RawMessage) (logic.Facts, Names, error) {
+	o := object{raw: map[string]json.RawMessage{"Facts": text}}
+	f, n := facts(&o)
+	return f, n, o.err
+}
+
+func facts(o *object) (logic.Facts, Names) {
 	var s settings
+	var n Names
 	v, ok := o.get("Facts", true)
 	if !ok {
-		return logic.Facts{}
+		return logic.Facts{}, n
 	}
 	if err := json.Unmarshal(v, &s); err != nil {
 		var kind *json.UnmarshalTypeError
@@ -50,7 +66,7 @@
 		} else {
 			o.fail("Facts", err.Error())
 		}
-		return logic.Facts{}
+		return logic.Facts{}, n
 	}
 	ms := func(v float64) logic.Millis { return logic.Millis(v) }
 	at := func(marks []bool, i int) bool { return i < len(marks) && marks[i] }
@@ -72,7 +88,9 @@
 	if s.Report.Via != "none" {
 		f.LoadColumns = s.Report.Columns
 	}
+	n.Zones, n.Kinds, n.Resolution = s.Dcs, s.HostTypes, ms(s.ResolutionMs)
 	for i, c := range s.Classes {
+		n.Routes = append(n.Routes, c.Name)
 		repeat, known := map[string]logic.Repeat{"safe": logic.Repeatable, "keyed": logic.Keyed,
 			"unsafe": logic.Mutating}[c.Repeat]
 		if !known {
@@ -84,5 +102,5 @@
 				"cell": logic.ReachCell}[c.Group],
 			OwnZone: at(p.ClassOwnZone, i), Writes: at(p.WriteClasses, i)})
 	}
-	return f
+	return f, n
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -234,7 +234,8 @@
 	span := func(field string) logic.Millis { return logic.Millis(o.number(field, false)) }
 	switch verb {
 	case "Begin":
-		e.Begin = &Begin{Seed: o.natural("Nonce64"), Facts: facts(o)}
+		e.Begin = &Begin{Seed: o.natural("Nonce64")}
+		e.Begin.Facts, _ = facts(o)
 	case "Killed":
 		e.Killed = true
 	case "Sync":
