--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -53,6 +53,7 @@
 	watching context.CancelFunc
 	notes    []any
 	counts   counts
+	heard    heard
 	slow     time.Duration // the longest turn
 }
 
@@ -214,6 +215,7 @@
 			d.counts.refused++
 			return // a report on a host that was never listed
 		}
+		d.heard.add(x.Note)
 		d.notes = append(d.notes, x.Note)
 	case watch.Told:
 		d.counts.lists++
--- a/internal/platform/subscribed.go
+++ b/internal/platform/subscribed.go
@@ -5,6 +5,7 @@
 	"runtime"
 
 	"vetchwood/internal/platform/uplink"
+	"vetchwood/logic"
 )
 
 // subscribed begins on a new subscription's news. Those of former ones are taken no more, and former addresses are let go.
@@ -36,5 +37,26 @@
 		"open", f.Open, "strangers", f.Strangers, "sent_away", f.Turned, "reports_dropped", f.Dropped,
 		"heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine(), "descriptors", len(open),
 		"slowest_turn", d.slow.String())
-	d.slow = 0
+	h := d.heard
+	d.log.Info("heard", "hosts", h.hosts, "tries", h.tries, "lost", h.lost, "over_ms", mean(h.hostOver, h.hosts),
+		"slices", h.slices, "calls", h.calls, "calls_over_ms", mean(h.sliceOver, h.slices))
+	d.slow, d.heard = 0, heard{}
 }
+
+// heard sums the reports since the last figures, to be set beside what passed: a report covers longer the more there are to send.
+type heard struct {
+	hosts, tries, lost  int
+	slices, calls       int
+	hostOver, sliceOver logic.Millis
+}
+
+func (h *heard) add(note any) {
+	switch n := note.(type) {
+	case logic.Met:
+		h.hosts, h.tries, h.lost, h.hostOver = h.hosts+1, h.tries+n.Ended, h.lost+n.Lost, h.hostOver+n.Over
+	case logic.Heat:
+		h.slices, h.calls, h.sliceOver = h.slices+1, h.calls+n.Calls, h.sliceOver+n.Over
+	}
+}
+
+func mean(sum logic.Millis, n int) int { return int(sum) / max(1, n) }
