--- a/internal/platform/codec/names.go
+++ b/internal/platform/codec/names.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 
 	"vetchwood/internal/wire"
 	"vetchwood/logic"
@@ -72,7 +73,7 @@
 	case err == nil && isNull(line):
 		return ErrUnreadable
 	case errors.As(err, &kind) && kind.Field != "":
-		return &Spoilt{"message", kind.Field, "not " + kind.Type.String()}
+		return &Spoilt{"message", strings.ToLower(kind.Field), "not " + kind.Type.String()}
 	case err != nil:
 		return fmt.Errorf("%w: %v", ErrUnreadable, err)
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 
 	"vetchwood/internal/platform/codec"
 	"vetchwood/internal/wire"
@@ -71,7 +72,7 @@
 		var syntax *json.SyntaxError
 		switch {
 		case errors.As(err, &kind) && kind.Field != "":
-			return nil, &Invalid{kind.Field, "not " + kind.Type.String()}
+			return nil, &Invalid{strings.ToLower(kind.Field), "not " + kind.Type.String()}
 		case errors.As(err, &syntax):
 			return nil, &Invalid{fmt.Sprintf("byte %d", syntax.Offset), err.Error()}
 		}
--- a/internal/platform/news/news.go
+++ b/internal/platform/news/news.go
@@ -25,6 +25,7 @@
 	since    logic.Millis
 	gathered table // lines told since it was given; nil: not being given
 	fresh    bool  // given anew, whatever was known of it
+	doubted  bool  // orders for it were dropped: it is told anew in any case
 }
 
 // Book is that of one director.
@@ -110,7 +111,7 @@
 		s = &slice{lines: table{}}
 		b.slices[t] = s
 	}
-	if s.fresh = !b.present || !s.told; b.present {
+	if s.fresh = !b.present || !s.told || s.doubted; b.present {
 		b.given[t] = true
 	}
 	s.since, s.gathered = now, table{}
@@ -168,7 +169,7 @@
 		if !s.fresh && s.told && (s.touched || maps.Equal(lines, s.lines)) {
 			continue
 		}
-		s.lines, s.told = lines, true
+		s.lines, s.told, s.doubted = lines, true, false
 		b.Forgotten(t)
 		notes = append(notes, b.Retell(t)...)
 	}
@@ -227,6 +228,20 @@
 	}
 }
 
+// Doubt says that orders for a slice were dropped, so that the module may take it for other than it is. While the present state
+// is told it follows with that, else at once.
+func (b *Book) Doubt(t logic.TableID) []any {
+	s := b.slices[t]
+	if s == nil {
+		return nil
+	}
+	if b.present && (!b.given[t] || s.gathered != nil) {
+		s.fresh, s.doubted = true, true
+		return nil
+	}
+	return b.Retell(t)
+}
+
 // Rejoin are the notes that tell the module of all proxies as if they came anew: what it wrote to them may not have reached them.
 func (b *Book) Rejoin() (notes []any) {
 	for _, p := range slices.Sorted(maps.Keys(b.proxies)) {
--- a/internal/platform/outbox/outbox.go
+++ b/internal/platform/outbox/outbox.go
@@ -224,6 +224,26 @@
 	c.Text = append(c.Text, "]}}\n"...)
 }
 
+// Marked are the stamps of the call in hand; none: nobody will own up to it.
+func (c *Call) Marked() (all []logic.SerialID) {
+	for _, o := range c.Ops {
+		if o.Kind == Mark {
+			all = append(all, o.Serial)
+		}
+	}
+	return all
+}
+
+// Reset drops the call in hand and all that waits, and gives their ops.
+func (b *Box) Reset() (dropped []Op) {
+	if b.call != nil {
+		dropped = b.call.Ops
+	}
+	dropped = append(dropped, b.waiting...)
+	b.call, b.waiting = nil, nil
+	return dropped
+}
+
 // Ended says how the call in hand ended. One that ended unsure is made again as it was before anything newer is said: the relay
 // carried it out whole or not at all, and to set the same twice is to set it. One that was taken in part loses the op at fault; the
 // rest goes on as a call of its own, before what waits.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -44,6 +45,8 @@
 	timers timers
 
 	calling  bool
+	doubted  bool         // the call in hand is unsure; the module says when it is made again
+	resync   bool         // the present state is told anew: a call that ends unanswered now is void
 	relay    string       // where calls go from now on
 	source   int          // of the news that are taken; 0: none
 	alive    bool         // that source has not broken
@@ -259,6 +262,9 @@
 			return
 		}
 	}
+	if a, is := n.Note.(logic.Applied); is {
+		d.applied(a)
+	}
 	d.notes = append(d.notes, d.book.Take(now, n)...)
 }
 
@@ -273,6 +279,8 @@
 			d.probes.ask(o.Host, d.hosts.Address(o.Host))
 		case logic.Say:
 			d.log.Info("module", "says", o.Text)
+		case logic.Again:
+			d.resolve(o.Serial)
 		case logic.Follow, logic.Pull, logic.Tell:
 			// The list is always followed, and directors here have no way to each other.
 		default:
@@ -312,7 +320,7 @@
 
 // call makes the next call, if none is on its way.
 func (d *director) call() {
-	if d.calling {
+	if d.calling || d.doubted {
 		return
 	}
 	if c := d.box.Next(); c != nil {
@@ -338,12 +346,58 @@
 	if e.How != outbox.Answered {
 		d.log.Info("call.failed", "id", e.ID, "how", int(e.How), "why", e.Why, "spent", e.Spent.String(), "waiting", d.box.Waiting())
 	}
-	out := d.box.Ended(e.How, e.Taken)
+	if d.resync && e.How != outbox.Answered {
+		// What the relay holds is told anew, and all proxies count as come anew: what it took of this is in there, and what it did not
+		// is ordered again if it is still wanted. Orders of before the gap could undo what another director did in it.
+		d.resync = false
+		d.stale(d.box.Reset())
+		return
+	}
+	d.resync = false
+	if c := d.box.InHand(); e.How == outbox.Unsure && c != nil {
+		marked := c.Marked()
+		for _, m := range marked {
+			d.notes = append(d.notes, logic.Unsure{Serial: m})
+		}
+		d.doubted = len(marked) > 0
+	}
+	d.finish(e.How, e.Taken, e.Why)
+}
+
+// stale has the module hear anew of the slices that dropped orders were for.
+func (d *director) stale(ops []outbox.Op) {
+	d.log.Info("orders.void", "orders", len(ops), "why", "the relay was away; what it holds is told anew")
+	for _, o := range ops {
+		if o.Table != outbox.NoTable {
+			d.notes = append(d.notes, d.book.Doubt(o.Table)...)
+		}
+	}
+}
+
+// resolve is told that the call with a stamp may be made again, or that a proxy owned up to it.
+func (d *director) resolve(serial logic.SerialID) (mine bool) {
+	if c := d.box.InHand(); d.doubted && c != nil && slices.Contains(c.Marked(), serial) {
+		d.doubted = false
+		return true
+	}
+	return false
+}
+
+// applied ends an unsure call: it was carried out, and whole.
+func (d *director) applied(n logic.Applied) {
+	if d.resolve(n.Serial) {
+		d.log.Info("call.proven", "id", d.box.InHand().ID, "by", int(n.Proxy))
+		d.finish(outbox.Answered, len(d.box.InHand().Ops), "")
+	}
+}
+
+func (d *director) finish(how outbox.Fate, taken int, why string) {
+	out := d.box.Ended(how, taken)
 	d.counts.taken += uint64(len(out.Taken))
 	d.book.Taken(out.Taken)
 	for _, o := range out.Dropped {
 		d.counts.refused++
-		d.log.Error("order.refused", "order", o.Text, "why", e.Why)
+		d.log.Error("order.refused", "order", o.Text, "why", why)
 	}
 	d.untold(out.Dropped)
 }
--- a/internal/platform/subscribed.go
+++ b/internal/platform/subscribed.go
@@ -22,6 +22,10 @@
 	}
 	d.leaving = nil
 	d.book.Begin(continuous)
+	if d.resync = !continuous && d.calling; !continuous && d.doubted {
+		d.doubted = false
+		d.stale(d.box.Reset())
+	}
 }
 
 // figures tell how it goes.
--- a/internal/platform/uplink/uplink.go
+++ b/internal/platform/uplink/uplink.go
@@ -18,8 +18,9 @@
 
 // Times of the protocol, with room for a machine that shares its core.
 const (
-	dialFor    = 400 * time.Millisecond
-	answerFor  = 200 * time.Millisecond // an answer comes within 50 ms or never
+	dialFor    = 250 * time.Millisecond
+	answerFor  = 120 * time.Millisecond // an answer comes within 50 ms or never
+	idleFor    = 2 * time.Second        // the other side closes what is idle for longer, maybe with a call on its way
 	writeFor   = 200 * time.Millisecond
 	silence    = 2500 * time.Millisecond // two signs of life and a half
 	retryUnit  = 20 * time.Millisecond
@@ -44,6 +45,7 @@
 	conn  nets.Conn
 	lines *nets.Lines
 	at    string // that conn goes to
+	used  time.Time
 	fails int
 	log   *slog.Logger
 }
@@ -68,14 +70,15 @@
 		case <-ctx.Done():
 			return
 		case t := <-c.todo:
+			if c.fails > 1 { // the first try again is at once
+				turns.Pause(ctx, turns.Backoff(min(c.fails-1, 8), retryUnit, rand.Float64()))
+			}
 			began := time.Now()
 			e := c.make(t)
 			e.ID, e.Spent = t.call.ID, time.Since(began)
 			if e.How == outbox.Answered || e.How == outbox.Invalid {
 				c.fails = 0
 			} else {
-				// The first try again is at once: an idle connection that the other side has closed is no failure.
-				turns.Pause(ctx, turns.Backoff(min(c.fails, 8), retryUnit, rand.Float64()))
 				c.fails++
 			}
 			c.post(e)
@@ -91,7 +94,7 @@
 }
 
 func (c *Calls) make(t todo) (e Ended) {
-	if c.conn != nil && (c.at != t.address || !c.conn.IsActive()) {
+	if c.conn != nil && (c.at != t.address || !c.conn.IsActive() || time.Since(c.used) > idleFor) {
 		c.drop()
 	}
 	if c.conn == nil {
@@ -101,11 +104,11 @@
 		}
 		c.conn, c.lines, c.at = conn, nets.NewLines(conn, mostLine), t.address
 	}
-	c.conn.SetWriteDeadline(time.Now().Add(writeFor))
+	c.used = time.Now()
+	c.conn.SetWriteDeadline(c.used.Add(writeFor))
 	if _, err := c.conn.Write(t.call.Text); err != nil {
-		// Whether the last byte went is not told by every error, and to send it once more is right in both cases.
 		c.drop()
-		return Ended{How: outbox.Unsure, Why: err.Error()}
+		return Ended{How: outbox.Unsent, Why: err.Error()} // its last byte never went
 	}
 	f, err := c.answer(t.call)
 	if err != nil {
--- a/logic/api.go
+++ b/logic/api.go
@@ -144,6 +144,8 @@
 		Serial SerialID
 		Spent  Millis
 	}
+	// Unsure tells that the channel may have taken the reply that bore this stamp, or may not.
+	Unsure struct{ Serial SerialID }
 	Due    struct{ Timer TimerID }
 	Probed struct {
 		Host  HostID
@@ -216,6 +218,8 @@
 		Serial SerialID
 		All    bool
 	}
+	// Again has a reply written once more that is Unsure. An Applied of it that comes before makes it void.
+	Again struct{ Serial SerialID }
 	After struct {
 		In    Millis
 		Timer TimerID
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -161,10 +161,10 @@
 	}
 }
 
-// unlist takes hosts of the store's lines that are in no list for gone: they left it while we were down, or before we first
-// heard it, and calls that still go there break the grace from the moment their slice is ours. Without a note of its own such
-// a host was never masked, and its lines waited for the room that ordinary changes have. The list from disk is too old to say
-// so: a host that came since would be masked.
+// unlist takes hosts of the store's lines that are in no list for gone: they left it while we were down, and
+// calls that still go there break the grace once their slice is ours. Without a note of its own such a host
+// was never masked, and its lines waited for the room that ordinary changes have. The list from disk is too
+// old to say so: a host that came since would be masked.
 func (d *Director) unlist(held lines) {
 	for _, l := range held {
 		if d.told && !d.hosts.has(l.host) {
@@ -822,7 +822,7 @@
 // waiting is what may still be in our channel: what has not left it at its usual pace, or, once most proxies
 // are late to own up to a message, all that they have not owned up to, which holds at any pace.
 func (p *publisher) waiting() (lines float64) {
-	p.flights = slices.DeleteFunc(p.flights, func(f *flight) bool { return f.left.len() == 0 })
+	p.flights = slices.DeleteFunc(p.flights, func(f *flight) bool { return f.left.len() == 0 && f.doubt == 0 })
 	slow, all := false, 0.0
 	for _, f := range p.flights {
 		own := f.lines()
@@ -836,6 +836,37 @@
 	return lines
 }
 
+func (p *publisher) doubt(n Unsure) {
+	for _, f := range p.flights {
+		if f.serial == n.Serial {
+			f.doubt = p.now
+			return
+		}
+	}
+	p.order(Again{n.Serial}) // nobody is left who could own up to it
+}
+
+// again has written once more what may not have reached the channel. It may just as well wait there, and its
+// lines twice would pass the limit: so it gets the time in which a proxy would own up to it, and then counts
+// double until one does. Without room for that it waits until it can't be on its way any more.
+func (p *publisher) again() {
+	filled := p.waiting()
+	for _, f := range p.flights {
+		own := f.lines()
+		begins := f.clear - Millis(own/p.rules.pace)
+		if f.doubt == 0 || p.now < begins+p.rules.transit ||
+			filled+own > p.rules.queue*urgentPart && p.now < f.clear+3*p.rules.transit {
+			continue
+		}
+		for n, lines := range f.left.all() {
+			f.left.put(n, 2*lines)
+		}
+		p.clear = max(p.clear, p.now) + Millis(own/p.rules.pace)
+		f.clear, f.doubt, filled = p.clear, 0, filled+own
+		p.order(Again{f.serial})
+	}
+}
+
 // due says whether to write now. Ordinary changes gather, and leave a part of a proxy's messages to removals.
 func (p *publisher) due() bool {
 	rebind, reopen, pressed, urgent := false, false, false, false
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -355,9 +355,13 @@
 		for _, f := range p.flights {
 			if f.serial == n.Serial {
 				f.left.drop(n.Proxy)
+				f.doubt = 0
 			}
 		}
+	case Unsure:
+		p.doubt(n)
 	case settleNow:
+		p.again()
 		if p.due() {
 			p.flush()
 		}
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -32,6 +32,7 @@
 	every    Millis
 	lastFeed Millis
 	sent     []Millis
+	last     SerialID
 	deaf     bool
 	orders   []Order
 	moved    int
@@ -76,6 +77,8 @@
 			s.facts.MessageLimit = int(number(v))
 		case "queue":
 			s.facts.QueueLimit = number(v)
+		case "transit":
+			s.facts.Transit = Millis(number(v))
 		case "weighted":
 			s.facts.Weighted = true
 		case "owner":
@@ -176,6 +179,13 @@
 	case "masked": // a mask of an earlier start
 		s.masked[HostID(number(rest[0]))] = true
 		s.notes = append(s.notes, Masked{HostID(number(rest[0]))})
+	case "unsure": // whether the channel took the last reply
+		for _, o := range s.orders {
+			if stamp, is := o.(Stamp); is {
+				s.last = stamp.Serial
+			}
+		}
+		s.notes = append(s.notes, Unsure{s.last})
 	case "deaf": // proxies own up to nothing any more
 		s.deaf = true
 	case "run":
