--- a/logic/logic.go
+++ b/logic/logic.go
@@ -899,7 +899,7 @@
 		hurry = max(hurry, heads/2)
 	}
 	if !masks && !pressed {
-		hurry, most = max(hurry, heads/2), most*urgentPart // the last messages are for what the rules ask
+		hurry, most = max(hurry, heads), most*urgentPart // the last messages are for what the rules ask
 	}
 	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-hurry) >= hurry {
 		return true
