--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -153,6 +153,38 @@
 	s.within("the mask", grace, s.drained("h1"))
 }
 
+// While the relay is away another director may have moved our slices. What was ordered before is void then, and never written over what
+// the relay holds; what is still wanted is ordered anew.
+func TestOrdersOfBeforeAGapAreVoid(t *testing.T) {
+	s := up(t)
+	s.relay.fate(strings.Fields(strings.Repeat("before ", 400))...)
+	s.agent.set("h1", 0, "leaving")
+	s.within("a call", time.Second, func() bool { return s.relay.see(func() bool { return s.relay.calls > 0 }) })
+	s.relay.mu.Lock()
+	s.relay.say = nil // slices 0 to 2 are another's by now, and slice 3 came back with a line of its own
+	s.relay.mu.Unlock()
+	s.relay.tell("joined", `"node":0,"locality":"a","w":20,"cold":false`)
+	s.relay.tell("given", `"shard":3,"set":true`)
+	s.relay.tell("held", `"shard":3,"endpoint":"h1","w":1.0`)
+	s.relay.cut()
+	s.within("a subscription", time.Second, func() bool { return s.relay.see(func() bool { return len(s.relay.news) == 1 }) })
+	time.Sleep(300 * time.Millisecond)
+	s.relay.mu.Lock()
+	s.relay.fates, s.relay.lines = nil, map[string]float64{}
+	s.relay.mu.Unlock()
+	s.within("the lines of slice 3", 3*time.Second, func() bool {
+		return s.relay.see(func() bool { return s.relay.out["h1"] && s.relay.lines["3/h2"]+s.relay.lines["3/h3"] > 0 })
+	})
+	s.relay.see(func() bool {
+		for line := range s.relay.lines {
+			if !strings.HasPrefix(line, "3/") {
+				t.Errorf("an order for a slice that was lost: %s", line)
+			}
+		}
+		return true
+	})
+}
+
 func TestANewConfigurationMovesBothAddresses(t *testing.T) {
 	s := up(t)
 	old, former := s.relay, s.agent
