--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -66,8 +66,8 @@
 }
 
 type counts struct {
-	calls, unsure, unsent, later, refused, taken uint64
-	begun, broke, lists                          int
+	calls, unsure, unsent, later, refused, taken, unknown uint64
+	begun, broke, lists                                   int
 }
 
 // Run is a director's life: until SIGTERM, or something that it can't do without fails. SIGHUP has the configuration read anew.
@@ -215,7 +215,7 @@
 	switch x := x.(type) {
 	case codec.Message:
 		if x.Host != "" && !d.hosts.Known(codec.ID(x.Host)) {
-			d.counts.refused++
+			d.counts.unknown++
 			return // a report on a host that was never listed
 		}
 		d.heard.add(x.Note)
--- a/internal/platform/subscribed.go
+++ b/internal/platform/subscribed.go
@@ -38,7 +38,7 @@
 	d.log.Info("figures", "proxies", proxies, "slices", slices, "hosts", d.hosts.Listed(), "lists", c.lists,
 		"calls", c.calls, "orders", c.taken, "waiting", d.box.Waiting(), "merged", d.box.Merged, "unsure", c.unsure, "unsent", c.unsent,
 		"later", c.later, "refused", c.refused, "subscribed", c.begun, "broke", c.broke,
-		"open", f.Open, "strangers", f.Strangers, "sent_away", f.Turned, "reports_dropped", f.Dropped,
+		"open", f.Open, "strangers", f.Strangers, "sent_away", f.Turned, "reports_dropped", f.Dropped, "of_unknown_hosts", c.unknown,
 		"heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine(), "descriptors", len(open),
 		"slowest_turn", d.slow.String())
 	h := d.heard
