Read over once more: shared pieces called, limits and cuts that reach the ledger

Found on reading the change: the loop that tells the budget how much of the heap is live was written again beside the daemon's, and counted garbage (now internal/live, called by both); the columns of load reports stood twice (wire.Column); a reload made a ledger of the new limits and dropped it (now Ledger.Have); the ledger's cuts closed nobody (Ledger.Cuts, test TestWhoHoldsMostGoes fails without); two ways to have slices told anew (retell), two places that make a host (meet), a file list beside the hosts, a debug line written twice.

--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -4,11 +4,10 @@
 	"context"
 	"fmt"
 	"runtime/debug"
-	"runtime/metrics"
 	"syscall"
-	"time"
 
 	"vetchwood/internal/budget"
+	"vetchwood/internal/live"
 	"vetchwood/internal/settings"
 )
 
@@ -25,20 +24,7 @@
 	if s.MQTT != nil {
 		s.MQTT.Limits.Budget = ledger
 	}
-	go func() {
-		sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
-		tick := time.NewTicker(100 * time.Millisecond)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-			}
-			metrics.Read(sample)
-			ledger.Heap(int64(sample[0].Value.Uint64()))
-		}
-	}()
+	go live.Watch(ctx, ledger)
 	return ledger, nil
 }
 
--- a/internal/platform/codec/hosts.go
+++ b/internal/platform/codec/hosts.go
@@ -19,21 +19,21 @@
 
 // Hosts are the names and addresses behind the numbers. Those of hosts long gone are forgotten, the oldest first.
 type Hosts struct {
-	by    map[logic.HostID]*host
-	gone  []logic.HostID
-	files map[logic.HostID]bool // what is in gone
+	by   map[logic.HostID]*host
+	gone []logic.HostID
 }
 
 type host struct {
 	name, address string
 	listed        bool
+	filed         bool // among those gone
 	entry         logic.Entry
 }
 
 // mostGone is how many hosts that are listed no more are still known by name, for orders that take their lines away.
 const mostGone = 1024
 
-func NewHosts() *Hosts { return &Hosts{by: map[logic.HostID]*host{}, files: map[logic.HostID]bool{}} }
+func NewHosts() *Hosts { return &Hosts{by: map[logic.HostID]*host{}} }
 
 // Name takes a host's name in and gives its number; two names of one number are an error for the later.
 func (h *Hosts) Name(name string) (logic.HostID, error) {
@@ -51,15 +51,14 @@
 }
 
 func (h *Hosts) file(id logic.HostID) {
-	if h.files[id] {
+	if h.by[id].filed {
 		return
 	}
-	h.gone, h.files[id] = append(h.gone, id), true
+	h.gone, h.by[id].filed = append(h.gone, id), true
 	for len(h.gone) > mostGone {
 		old := h.gone[0]
 		h.gone = h.gone[1:]
-		delete(h.files, old)
-		if !h.by[old].listed {
+		if h.by[old].filed = false; !h.by[old].listed {
 			delete(h.by, old)
 		}
 	}
--- a/internal/platform/codec/messages.go
+++ b/internal/platform/codec/messages.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"vetchwood/internal/wire"
 	"vetchwood/logic"
 )
 
@@ -99,13 +100,12 @@
 }
 
 func (f *fields) column(n *Names, l *logic.Load, name string, v *float64) {
-	to, most := map[string]**float64{"util": &l.Busy, "qps": &l.Rate, "queue": &l.Queue, "inflight": &l.InHand,
-		"latency_ms": &l.Recent, "eps": &l.Errors}[n.columns[name]], float64(mostCount)
+	to, most := wire.Column(l, n.columns[name]), float64(mostCount)
 	if to == nil {
 		f.wrong("metrics."+name, "unknown value")
 		return
 	}
-	if n.columns[name] == "util" {
+	if to == &l.Busy {
 		most = mostBusy
 	}
 	x := f.number("metrics."+name, v, most)
--- a/internal/platform/codec/names.go
+++ b/internal/platform/codec/names.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,7 +17,7 @@
 type Names struct {
 	wire.Names
 	Proxies, Slices int
-	columns         map[string]string // of load reports: what a name on the sockets stands for
+	columns         map[string]string // of load reports: the settings' word for each name on the sockets
 	longest         float64           // a call lasts
 }
 
@@ -27,11 +28,10 @@
 func NewNames(f logic.Facts, n wire.Names) *Names {
 	out := &Names{Names: n, Proxies: f.Proxies, Slices: f.Slices, columns: map[string]string{}}
 	for _, c := range f.LoadColumns {
-		plain := c
-		if p, known := plainNames[c]; known {
-			plain = p
+		out.columns[c] = c
+		if plain, known := plainNames[c]; known {
+			out.columns[plain] = c
 		}
-		out.columns[c], out.columns[plain] = plain, plain
 	}
 	for _, r := range f.Routes {
 		out.longest = max(out.longest, float64(r.TimeLimit))
@@ -70,7 +70,7 @@
 	err := json.Unmarshal(line, into)
 	var kind *json.UnmarshalTypeError
 	switch {
-	case err == nil && isNull(line):
+	case err == nil && bytes.IndexByte(line, '{') < 0: // null is read as an object of nothing
 		return ErrUnreadable
 	case errors.As(err, &kind) && kind.Field != "":
 		return &Spoilt{"message", strings.ToLower(kind.Field), "not " + kind.Type.String()}
@@ -80,15 +80,6 @@
 	return nil
 }
 
-func isNull(line []byte) bool {
-	for _, c := range line {
-		if c == '{' {
-			return false
-		}
-	}
-	return true
-}
-
 // fields reads the figures of one message and keeps the first that is wrong.
 type fields struct {
 	kind string
--- a/internal/platform/collect/collect.go
+++ b/internal/platform/collect/collect.go
@@ -54,7 +54,7 @@
 	mu        sync.Mutex
 	strangers *list.List // of *peer, the oldest first
 	joined    map[logic.ZoneID][]*peer
-	open      map[*peer]bool
+	open      map[budget.Client]*peer
 }
 
 type peer struct {
@@ -78,8 +78,9 @@
 // Listen opens the socket. Reports are posted as codec.Message.
 func Listen(address string, names *codec.Names, ledger *budget.Ledger, post func(...any), log *slog.Logger) (*Server, error) {
 	s := &Server{names: names, post: post, ledger: ledger, log: log, done: make(chan struct{}), strangers: list.New(),
-		joined: map[logic.ZoneID][]*peer{}, open: map[*peer]bool{}}
+		joined: map[logic.ZoneID][]*peer{}, open: map[budget.Client]*peer{}}
 	s.most = max(8, ledger.Figures().Connections-perZone*len(names.Zones)-spare)
+	ledger.Cuts(s.cut)
 	var err error
 	s.Socket, err = nets.Listen(address, s.read, s.accept, writeFor, ledger, log)
 	return s, err
@@ -97,7 +98,7 @@
 	return s.Socket.Close(func(each func(netpoll.Connection)) {
 		s.mu.Lock()
 		all := make([]*peer, 0, len(s.open))
-		for p := range s.open {
+		for _, p := range s.open {
 			all = append(all, p)
 		}
 		s.mu.Unlock()
@@ -124,7 +125,7 @@
 	s.ledger.Opened()
 	var oldest *peer
 	s.mu.Lock()
-	s.open[p] = true
+	s.open[p.id] = p
 	if p.place = s.strangers.PushBack(p); s.strangers.Len() > s.most {
 		oldest = s.strangers.Front().Value.(*peer)
 	}
@@ -136,7 +137,7 @@
 		if all := s.joined[p.zone]; slices.Contains(all, p) {
 			s.joined[p.zone] = slices.DeleteFunc(all, func(x *peer) bool { return x == p })
 		}
-		delete(s.open, p)
+		delete(s.open, p.id)
 		s.mu.Unlock()
 		s.ledger.Closed(p.id)
 		return nil
@@ -147,6 +148,16 @@
 	return context.WithValue(context.Background(), peerKey{}, p)
 }
 
+// cut closes a connection that holds more of the memory than the others, where there is no more.
+func (s *Server) cut(c budget.Client) {
+	s.mu.Lock()
+	p := s.open[c]
+	s.mu.Unlock()
+	if p != nil {
+		s.refuse(p, "it holds more of the memory than the others, and there is no more")
+	}
+}
+
 // settle takes a peer off the strangers; the lock is held.
 func (s *Server) settle(p *peer) {
 	if p.place != nil {
--- a/internal/platform/collect/collect_test.go
+++ b/internal/platform/collect/collect_test.go
@@ -22,10 +22,15 @@
 const report = `{"t":"heat","shard":1,"route":"read","total":1,"errors":0,"interval":500}` + "\n"
 
 func serve(t *testing.T, descriptors int) (s *Server, notes *atomic.Int64) {
+	t.Helper()
+	return serveWith(t, budget.Means{Memory: 32 << 20, Descriptors: descriptors})
+}
+
+func serveWith(t *testing.T, m budget.Means) (s *Server, notes *atomic.Int64) {
 	t.Helper()
 	n := codec.NewNames(logic.Facts{Proxies: 4, Slices: 8, Routes: make([]logic.Route, 1)}, wire.Names{Routes: []string{"read"}, Zones: []string{"a", "b"}})
 	notes = &atomic.Int64{}
-	s, err := Listen("127.0.0.1:0", n, budget.New(budget.Means{Memory: 32 << 20, Descriptors: descriptors}), func(in ...any) { notes.Add(int64(len(in))) },
+	s, err := Listen("127.0.0.1:0", n, budget.New(m), func(in ...any) { notes.Add(int64(len(in))) },
 		slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -115,6 +120,16 @@
 	within(t, "all reports", time.Second, func() bool { return notes.Load() == perZone+1 })
 }
 
+// Half a line of each is more than all may hold together: who holds most goes, and the other is served on.
+func TestWhoHoldsMostGoesWhereMemoryIsShort(t *testing.T) {
+	s, notes := serveWith(t, budget.Means{Memory: 2 << 20, Descriptors: 1024})
+	small := dial(t, s, `{"t":"collector","locality":"a"}`+"\n"+report[:40])
+	large := dial(t, s, `{"t":"collector","locality":"b"}`+"\n"+strings.Repeat("x", 600_000))
+	left(t, large, time.Second)
+	io.WriteString(small, report[40:])
+	within(t, "the report of the other", time.Second, func() bool { return notes.Load() == 1 })
+}
+
 // Hundreds connect and say nothing, or half a message, or never end; the collector is served meanwhile, and nothing stays behind.
 func TestAFloodOfStrangersCostsCollectorsNothing(t *testing.T) {
 	s, notes := serve(t, 256)
--- a/internal/platform/subscribed.go
+++ b/internal/platform/figures.go
@@ -4,30 +4,9 @@
 	"os"
 	"runtime"
 
-	"vetchwood/internal/platform/uplink"
 	"vetchwood/logic"
 )
 
-// subscribed begins on a new subscription's news. Those of former ones are taken no more, and former addresses are let go.
-func (d *director) subscribed(b uplink.Began) {
-	if b.Address != d.relay {
-		return // a former address that came back while it is left
-	}
-	continuous := d.source > 0 && d.alive
-	d.log.Info("news.began", "source", b.Source, "address", b.Address, "continuous", continuous)
-	d.source, d.alive = b.Source, true
-	d.counts.begun++
-	for _, f := range d.leaving {
-		f.end()
-	}
-	d.leaving = nil
-	d.book.Begin(continuous)
-	if d.resync = !continuous && d.calling; !continuous && d.doubted {
-		d.doubted = false
-		d.stale(d.box.Reset())
-	}
-}
-
 // figures tell how it goes.
 func (d *director) figures() {
 	var m runtime.MemStats
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -11,8 +11,8 @@
 // beside is what a process holds that Go's memory limit doesn't count: its text and what the kernel keeps for it.
 const beside = 10 << 20
 
-// limit keeps the process within what the configuration grants.
-func limit(s *Start) *budget.Ledger {
+// limit keeps the process within what the configuration grants, and says what that is.
+func limit(s *Start) budget.Means {
 	means := budget.Unlimited
 	if s.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(s.Cores))))
@@ -24,5 +24,5 @@
 	if s.Sockets > 0 {
 		means.Descriptors = s.Sockets
 	}
-	return budget.New(means)
+	return means
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"runtime"
 	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"vetchwood/internal/budget"
+	"vetchwood/internal/live"
 	"vetchwood/internal/platform/codec"
 	"vetchwood/internal/platform/collect"
 	"vetchwood/internal/platform/news"
@@ -42,6 +42,7 @@
 	calls  *uplink.Calls
 	probes *prober
 	front  *collect.Server
+	ledger *budget.Ledger
 	timers timers
 
 	calling  bool
@@ -79,15 +80,15 @@
 	log = log.With("director", s.Name)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ledger := limit(s)
 	d := newDirector(s, log)
-	if d.front, err = collect.Listen(s.Listen, s.Names, ledger, d.inbox.Post, log); err != nil {
+	d.ledger = budget.New(limit(s))
+	if d.front, err = collect.Listen(s.Listen, s.Names, d.ledger, d.inbox.Post, log); err != nil {
 		return fmt.Errorf("listen %s: %w", s.Listen, err)
 	}
 	defer d.front.Close()
 	failed := make(chan error, 1)
 	go func() { failed <- d.front.Serve() }()
-	go live(ctx, ledger)
+	go live.Watch(ctx, d.ledger)
 	d.calls = uplink.NewCalls(s.Names, d.inbox.Post, log)
 	go d.calls.Run(ctx)
 	d.probes = newProber(ctx, s.Names, d.inbox.Post)
@@ -109,16 +110,6 @@
 	return d
 }
 
-// live tells the ledger how much is live.
-func live(ctx context.Context, ledger *budget.Ledger) {
-	for ctx.Err() == nil {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		ledger.Heap(int64(m.HeapAlloc))
-		turns.Pause(ctx, time.Second)
-	}
-}
-
 // connect follows the addresses of a configuration. A former relay's news go on until the new one's are there.
 func (d *director) connect(ctx context.Context, s *Start) {
 	if d.follow == nil || d.relay != s.Relay {
@@ -225,9 +216,6 @@
 		r, wrong := d.hosts.Roster(x.List, logic.Whole, d.start.Names)
 		d.wrong("discovery", wrong)
 		d.notes = append(d.notes, r)
-		for _, e := range x.Endpoints {
-			d.log.Debug("host.listed", "host", e.Name, "status", e.Status, "since_ms", e.Since, "whole", x.Snapshot)
-		}
 	case logic.Probed:
 		delete(d.probes.asked, x.Host)
 		d.notes = append(d.notes, x)
@@ -295,7 +283,7 @@
 	if len(ops) == 0 {
 		return
 	}
-	d.trace("orders", ops, func(o outbox.Op) string { return o.Text })
+	d.traceOrders(ops)
 	if dropped, err := d.box.Add(ops); err != nil {
 		d.log.Error("orders.dropped", "error", err, "orders", len(dropped))
 		d.untold(dropped)
@@ -304,18 +292,22 @@
 
 // untold tells the module of what was dropped: it hears once more what the store holds, and takes those tables for it.
 func (d *director) untold(ops []outbox.Op) {
-	told := map[logic.TableID]bool{}
-	all := false
+	d.retell(ops)
+	if slices.ContainsFunc(ops, func(o outbox.Op) bool { return o.Table == outbox.NoTable && o.Kind != outbox.Mark }) {
+		d.notes = append(d.notes, d.book.Rejoin()...) // masks and levels: proxies count as come anew
+	}
+}
+
+// retell has the module hear anew of the slices that orders were for, and drops what else waits for them.
+func (d *director) retell(ops []outbox.Op) {
+	told := map[logic.TableID]bool{outbox.NoTable: true}
 	for _, o := range ops {
-		if all = all || o.Table == outbox.NoTable && o.Kind != outbox.Mark; o.Table != outbox.NoTable && !told[o.Table] {
+		if !told[o.Table] {
 			told[o.Table] = true
 			d.box.Forget(o.Table)
-			d.notes = append(d.notes, d.book.Retell(o.Table)...)
+			d.notes = append(d.notes, d.book.Doubt(o.Table)...)
 		}
 	}
-	if all { // masks and levels: proxies count as come anew
-		d.notes = append(d.notes, d.book.Rejoin()...)
-	}
 }
 
 // call makes the next call, if none is on its way.
@@ -350,7 +342,7 @@
 		// What the relay holds is told anew, and all proxies count as come anew: what it took of this is in there, and what it did not
 		// is ordered again if it is still wanted. Orders of before the gap could undo what another director did in it.
 		d.resync = false
-		d.stale(d.box.Reset())
+		d.void()
 		return
 	}
 	d.resync = false
@@ -364,14 +356,11 @@
 	d.finish(e.How, e.Taken, e.Why)
 }
 
-// stale has the module hear anew of the slices that dropped orders were for.
-func (d *director) stale(ops []outbox.Op) {
+// void drops all that was ordered before a gap in the news.
+func (d *director) void() {
+	ops := d.box.Reset()
 	d.log.Info("orders.void", "orders", len(ops), "why", "the relay was away; what it holds is told anew")
-	for _, o := range ops {
-		if o.Table != outbox.NoTable {
-			d.notes = append(d.notes, d.book.Doubt(o.Table)...)
-		}
-	}
+	d.retell(ops)
 }
 
 // resolve is told that the call with a stamp may be made again, or that a proxy owned up to it.
@@ -402,6 +391,26 @@
 	d.untold(out.Dropped)
 }
 
+// subscribed begins on a new subscription's news. Those of former ones are taken no more, and former addresses are let go.
+func (d *director) subscribed(b uplink.Began) {
+	if b.Address != d.relay {
+		return // a former address that came back while it is left
+	}
+	continuous := d.source > 0 && d.alive
+	d.log.Info("news.began", "source", b.Source, "address", b.Address, "continuous", continuous)
+	d.source, d.alive = b.Source, true
+	d.counts.begun++
+	for _, f := range d.leaving {
+		f.end()
+	}
+	d.leaving = nil
+	d.book.Begin(continuous)
+	if d.resync = !continuous && d.calling; !continuous && d.doubted {
+		d.doubted = false
+		d.void()
+	}
+}
+
 // reload reads the configuration anew. Calls that wait go to the new relay once the one in hand has ended.
 func (d *director) reload(ctx context.Context, env func(string) string) {
 	s, err := Load(env)
@@ -415,6 +424,6 @@
 	}
 	s.Facts, s.Names, s.Resolution = d.start.Facts, d.start.Names, d.start.Resolution
 	d.log.Info("reload.taken", "discovery", s.Discovery, "relay", s.Relay)
-	limit(s)
+	d.ledger.Have(limit(s))
 	d.connect(ctx, s)
 }
--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -10,16 +10,16 @@
 	"vetchwood/logic"
 )
 
-// trace writes what is ordered, for whoever asks for it by the log's level.
-func (d *director) trace(what string, ops []outbox.Op, text func(outbox.Op) string) {
+// traceOrders writes what is ordered, for whoever asks for it by the log's level.
+func (d *director) traceOrders(ops []outbox.Op) {
 	if !d.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
 	var all strings.Builder
 	for _, o := range ops {
-		all.WriteString(text(o))
+		all.WriteString(o.Text)
 	}
-	d.log.Debug(what, "n", len(ops), "waiting", d.box.Waiting(), "text", all.String())
+	d.log.Debug("orders", "n", len(ops), "waiting", d.box.Waiting(), "text", all.String())
 }
 
 // traceNotes writes what the module hears of, but for reports and its own timers.
--- a/internal/platform/uplink/uplink.go
+++ b/internal/platform/uplink/uplink.go
@@ -140,7 +140,7 @@
 
 // What the news put into the inbox; Source tells one subscription from the next.
 type (
-	// Began says that the relay took the subscription. Continuous: nothing was missed since the one before, which was alive till now.
+	// Began says that the relay took the subscription.
 	Began struct {
 		Source  int
 		Address string
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -125,6 +125,25 @@
 	return s
 }
 
+// Column is where a load report's value of that name goes; nil: it is none that decisions use.
+func Column(l *logic.Load, name string) **float64 {
+	switch name {
+	case "utilization":
+		return &l.Busy
+	case "throughput":
+		return &l.Rate
+	case "backlog":
+		return &l.Queue
+	case "outstanding":
+		return &l.InHand
+	case "recent_ms":
+		return &l.Recent
+	case "errors_per_s":
+		return &l.Errors
+	}
+	return nil
+}
+
 func (o *object) load(field string) logic.Load {
 	var l logic.Load
 	v, ok := o.get(field, false)
@@ -137,9 +156,9 @@
 		return l
 	}
 	in := object{raw: values}
-	for name, to := range map[string]**float64{"utilization": &l.Busy, "throughput": &l.Rate,
-		"backlog": &l.Queue, "outstanding": &l.InHand, "recent_ms": &l.Recent, "errors_per_s": &l.Errors} {
-		if _, ok := in.get(name, false); ok {
+	for name := range values {
+		to := Column(&l, name)
+		if _, ok := in.get(name, false); ok && to != nil {
 			n := in.number(name, false)
 			*to = &n
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -143,8 +143,7 @@
 		named[e.Host] = true
 		if !d.hosts.has(e.Host) {
 			// One that the list adds later may be none of ours, and take calls that it never answers.
-			d.hosts.put(e.Host, &host{loop: &d.loop, id: e.Host, place: d.place, gate: d.gate,
-				unproven: d.rules.probes && r.Kind != FromDisk})
+			d.meet(e.Host).unproven = d.rules.probes && r.Kind != FromDisk
 		}
 		d.post(d.hosts.get(e.Host), e)
 	}
@@ -161,6 +160,12 @@
 	}
 }
 
+func (d *Director) meet(id HostID) *host {
+	h := &host{loop: &d.loop, id: id, place: d.place, gate: d.gate}
+	d.hosts.put(id, h)
+	return h
+}
+
 // unlist takes hosts of the store's lines that are in no list for gone: they left it while we were down, and
 // calls that still go there break the grace once their slice is ours. Without a note of its own such a host
 // was never masked, and its lines waited for the room that ordinary changes have. The list from disk is too
@@ -168,9 +173,7 @@
 func (d *Director) unlist(held lines) {
 	for _, l := range held {
 		if d.told && !d.hosts.has(l.host) {
-			h := &host{loop: &d.loop, id: l.host, place: d.place, gate: d.gate}
-			d.hosts.put(l.host, h)
-			d.post(h, Entry{Host: l.host, State: Gone})
+			d.post(d.meet(l.host), Entry{Host: l.host, State: Gone})
 		}
 	}
 }
