Nothing is written while a reply is in doubt

Change: due and not in doubt, or nothing is written; it would have waited anyway. Scenario unsure fails without it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -852,13 +852,15 @@
 // again has written once more what may not have reached the channel. It may just as well wait there, and its
 // lines twice would pass the limit: so it gets the time in which a proxy would own up to it, and then counts
 // double until one does. Without room for that it waits until it can't be on its way any more.
-func (p *publisher) again() {
+// Nothing is written meanwhile: it would wait behind that, and seem to drain from a channel it is not in.
+func (p *publisher) again() (doubted bool) {
 	filled := p.waiting()
 	for _, f := range p.flights {
 		own := f.lines()
 		begins := f.clear - Millis(own/p.rules.pace)
 		if f.doubt == 0 || p.now < begins+p.rules.transit ||
 			filled+own > p.rules.queue*urgentPart && p.now < f.clear+3*p.rules.transit {
+			doubted = doubted || f.doubt > 0
 			continue
 		}
 		for n, lines := range f.left.all() {
@@ -868,6 +870,7 @@
 		f.clear, f.doubt, filled = p.clear, 0, filled+own
 		p.order(Again{f.serial})
 	}
+	return doubted
 }
 
 // due says whether to write now. Ordinary changes gather, and leave a part of a proxy's messages to removals.
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -361,8 +361,7 @@
 	case Unsure:
 		p.doubt(n)
 	case settleNow:
-		p.again()
-		if p.due() {
+		if doubted := p.again(); p.due() && !doubted {
 			p.flush()
 		}
 	}
