A reply written again is reckoned by itself until it has left the channel

At fault: publisher.again doubled the flight's lines, and publisher.take(Applied) dropped both copies at once, as both bear one stamp. Found by reading; scenario unsure shows it (a mask goes out while the second copy waits) and fails without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -825,13 +825,15 @@
 // waiting is what may still be in our channel: what has not left it at its usual pace, or, once most proxies
 // are late to own up to a message, all that they have not owned up to, which holds at any pace.
 func (p *publisher) waiting() (lines float64) {
-	p.flights = slices.DeleteFunc(p.flights, func(f *flight) bool { return f.left.len() == 0 && f.doubt == 0 })
+	p.flights = slices.DeleteFunc(p.flights, func(f *flight) bool {
+		return f.left.len() == 0 && f.doubt == 0 || f.second && p.now >= f.clear
+	})
 	slow, all := false, 0.0
 	for _, f := range p.flights {
 		own := f.lines()
 		all += own
 		lines += min(own, max(0, float64(f.clear-p.now)*p.rules.pace))
-		slow = slow || p.now > f.clear+p.rules.transit*3/2 && f.left.len()*2 > p.streams.len()
+		slow = slow || !f.second && p.now > f.clear+p.rules.transit*3/2 && f.left.len()*2 > p.streams.len()
 	}
 	if slow {
 		return all
@@ -863,11 +865,14 @@
 			doubted = doubted || f.doubt > 0
 			continue
 		}
-		for n, lines := range f.left.all() {
-			f.left.put(n, 2*lines)
-		}
 		p.clear = max(p.clear, p.now) + Millis(own/p.rules.pace)
 		f.clear, f.doubt, filled = p.clear, 0, filled+own
+		// Proxies own up to both by one stamp: what they own up to first frees no room of the second.
+		second := &flight{serial: -1, clear: p.clear, second: true}
+		for n, lines := range f.left.all() {
+			second.left.put(n, lines)
+		}
+		p.flights = append(p.flights, second)
 		p.order(Again{f.serial})
 	}
 	return doubted
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -209,6 +209,7 @@
 	// While it is filled: who may get lines, what a message costs beside its own, and how full the queue gets.
 	streams             *shelf[ProxyID, *stream]
 	each, queue, filled float64
+	second              bool   // of a reply that was written again; nobody owns up to it by itself
 	doubt               Millis // since when it may not have reached the channel; 0: it did
 	clear               Millis // when the last of it leaves the channel at its usual pace
 }
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -77,6 +77,8 @@
 			s.facts.MessageLimit = int(number(v))
 		case "queue":
 			s.facts.QueueLimit = number(v)
+		case "pace":
+			s.facts.LinesPerSecond = number(v)
 		case "transit":
 			s.facts.Transit = Millis(number(v))
 		case "weighted":
