The channel never holds more than its limit, at any pace and over a gap in the news

Messages of 24,960, 9,360 and 25,200 lines went within 0.73 s, of which 40 of 240 proxies had owned up to one. waiting() in logic.go reckoned them gone by the usual pace; that most proxies were late shows only 1.5 transits after the reckoned end. Now book() also keeps all that proxies have not owned up to, and what is added, under 0.95 of the limit.

Book.join told Left and Joined of proxies that were still there, and Left took their part of each message out of the reckoning; 63 masks lifted and 62 set went on top of a full channel. Now such a proxy joins without having left. A stream keeps its order, and applied means all up to the stamp, so an answer to a later message frees the earlier ones, whose answers the gap may have swallowed. What nobody owns up to is let go after ten times the usual way.

Ruled out: calls made twice (no unsure call in those logs), other directors' lines (the limit is each one's own).

Beside it: Gathered sorted all slices at each piece of news, 1,319 of them for each of 240 answers to a message; it now looks at those being given.

--- a/internal/platform/news/news.go
+++ b/internal/platform/news/news.go
@@ -37,12 +37,14 @@
 	continuous bool // nothing can have been missed before it
 	seen       map[logic.ProxyID]bool
 	given      map[logic.TableID]bool
+	gathering  map[logic.TableID]bool // slices that are being given: all others cost nothing when news come
 	// Forgotten is told of each slice whose waiting orders are void.
 	Forgotten func(logic.TableID)
 }
 
 func New() *Book {
-	return &Book{proxies: map[logic.ProxyID]logic.Joined{}, slices: map[logic.TableID]*slice{}, Forgotten: func(logic.TableID) {}}
+	return &Book{proxies: map[logic.ProxyID]logic.Joined{}, slices: map[logic.TableID]*slice{}, gathering: map[logic.TableID]bool{},
+		Forgotten: func(logic.TableID) {}}
 }
 
 // Figures are how many proxies have joined and slices are in our charge.
@@ -56,6 +58,7 @@
 	for _, s := range b.slices {
 		s.touched, s.gathered = false, nil
 	}
+	clear(b.gathering)
 }
 
 // Take takes one piece of news and gives the notes that follow from it and from what was gathered before it.
@@ -89,14 +92,18 @@
 }
 
 // join tells of a proxy. One that was there before a gap may have left and come back in it, without the masks and levels that
-// were written meanwhile: the module hears that it left and came. Within a whole run of news it is the same proxy still.
+// were written meanwhile, or may have been there all along: the module hears that it joined, and not that it left, since what
+// was written to it may still wait in the channel. Within a whole run of news it is the same proxy still.
 func (b *Book) join(n logic.Joined) (notes []any) {
 	was, known := b.proxies[n.Proxy]
 	b.proxies[n.Proxy] = n
-	if b.present {
-		first := !b.seen[n.Proxy]
-		if b.seen[n.Proxy] = true; known && first && b.continuous && !n.Fresh && was.Zone == n.Zone {
-			return nil
+	if first := b.present && !b.seen[n.Proxy]; first {
+		b.seen[n.Proxy] = true
+		if known && !n.Fresh && was.Zone == n.Zone {
+			if b.continuous {
+				return nil
+			}
+			return append(notes, n)
 		}
 	}
 	if known {
@@ -114,7 +121,7 @@
 	if s.fresh = !b.present || !s.told || s.doubted; b.present {
 		b.given[t] = true
 	}
-	s.since, s.gathered = now, table{}
+	s.since, s.gathered, b.gathering[t] = now, table{}, true
 	return nil
 }
 
@@ -129,7 +136,7 @@
 			s.gathered = table{}
 		}
 	}
-	s.since = now
+	s.since, b.gathering[n.Slice] = now, true
 	s.gathered[n.Host] = n.Weight
 	return nil
 }
@@ -137,6 +144,7 @@
 func (b *Book) lose(t logic.TableID) (notes []any) {
 	if s := b.slices[t]; s != nil {
 		delete(b.slices, t)
+		delete(b.gathering, t)
 		b.Forgotten(t)
 		if s.told {
 			notes = append(notes, logic.Custody{Slice: t})
@@ -147,8 +155,8 @@
 
 // Gathering says until when lines of a given slice are waited for; 0: none is being given.
 func (b *Book) Gathering() (until logic.Millis) {
-	for _, s := range b.slices {
-		if s.gathered != nil && (until == 0 || s.since+gatherFor < until) {
+	for t := range b.gathering {
+		if s := b.slices[t]; until == 0 || s.since+gatherFor < until {
 			until = s.since + gatherFor
 		}
 	}
@@ -157,13 +165,14 @@
 
 // Gathered tells the slices that have been quiet for long enough, or all of them.
 func (b *Book) Gathered(now logic.Millis, all bool) (notes []any) {
-	for _, t := range slices.Sorted(maps.Keys(b.slices)) {
+	for _, t := range slices.Sorted(maps.Keys(b.gathering)) {
 		s := b.slices[t]
-		if s.gathered == nil || !all && now < s.since+gatherFor {
+		if !all && now < s.since+gatherFor {
 			continue
 		}
 		lines := s.gathered
 		s.gathered = nil
+		delete(b.gathering, t)
 		// What stands as we know it is no news, and would cost the module all it has heard of the slice. Where our own orders
 		// ended while the state was told, it may be older than they are.
 		if !s.fresh && s.told && (s.touched || maps.Equal(lines, s.lines)) {
@@ -247,7 +256,7 @@
 	for _, p := range slices.Sorted(maps.Keys(b.proxies)) {
 		n := b.proxies[p]
 		n.Fresh = false
-		notes = append(notes, logic.Left{Proxy: p}, n)
+		notes = append(notes, n)
 	}
 	return notes
 }
--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -27,9 +27,18 @@
 	if !d.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
+	applied, slowest := map[logic.SerialID]int{}, map[logic.SerialID]logic.Millis{}
+	defer func() {
+		for s, n := range applied {
+			d.log.Debug("applied", "serial", int(s), "proxies", n, "slowest_ms", float64(slowest[s]))
+		}
+	}()
 	for _, n := range notes {
 		switch n := n.(type) {
-		case logic.Met, logic.Heat, logic.Due, logic.Applied:
+		case logic.Met, logic.Heat, logic.Due:
+		case logic.Applied:
+			applied[n.Serial]++
+			slowest[n.Serial] = max(slowest[n.Serial], n.Spent)
 		case logic.Roster:
 			for _, e := range n.Entries {
 				d.log.Debug("note", "kind", "entry", "list", int(n.Kind), "host", d.hosts.NameOf(e.Host), "state", int(e.State), "born", float64(e.Born))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,6 +41,8 @@
 	ordinaryPart = 0.5  // of the queue and of the messages; the rest is for removals
 	barePart     = 0.65 // for tables that would be left bare
 	urgentPart   = 0.85 // for hosts that go out
+	surePart     = 0.95 // for all that proxies have not owned up to: it holds at any pace
+	slowest      = 10   // times as long as usual, the way through a full channel at most takes
 
 	restFor = Millis(2000) // a jammed host is left alone for so long, and then as long at least in use
 
@@ -764,8 +766,8 @@
 			now.tries[r] = min(1, now.tries[r]) // a further try adds work just where there is too much
 		}
 		if g.rules.levels == LevelRate {
-			if now.level[r] = 1e6; part < 1 && g.joined > 0 {
-				now.level[r] = math.Ceil(part * g.usual[r] / g.joined)
+			if now.level[r] = 1e6; part < 1 && g.joined.len() > 0 {
+				now.level[r] = math.Ceil(part * g.usual[r] / float64(g.joined.len()))
 			}
 		}
 	}
@@ -812,10 +814,31 @@
 			p.masked.drop(id)
 		}
 	}
-	p.streams.put(n.Proxy, &stream{zone: n.Zone})
+	s := &stream{zone: n.Zone}
+	if known := p.streams.get(n.Proxy); known != nil {
+		// It may have left and come back while we heard nothing, or have been there all along: what waits in the
+		// channel for it stays counted until it owns up to something later. Counted as gone, all that had been
+		// written before the gap was forgotten, and as much again went on top of it.
+		s.wants = known.wants
+		p.unsettle()
+	}
+	p.streams.put(n.Proxy, s)
 	p.stood = levelled{} // it may hold the levels of an earlier time
 }
 
+// own hears that a proxy has applied all up to a stamp: a stream keeps its order, so what was written to it
+// before has come too, whether we heard of that or not.
+func (p *publisher) own(n Applied) {
+	for i, f := range p.flights {
+		if f.serial == n.Serial {
+			for _, before := range p.flights[:i+1] {
+				before.left.drop(n.Proxy)
+			}
+			f.doubt = 0
+		}
+	}
+}
+
 func (p *publisher) unsettle() {
 	for t, until := range p.shut.all() {
 		p.shut.put(t, max(until, p.now+p.rules.settle))
@@ -823,12 +846,14 @@
 }
 
 // waiting is what may still be in our channel: what has not left it at its usual pace, or, once most proxies
-// are late to own up to a message, all that they have not owned up to, which holds at any pace.
-func (p *publisher) waiting() (lines float64) {
+// are late to own up to a message, all that they have not owned up to, which holds at any pace; and that sum.
+// What nobody owns up to any more, since it was lost or we did not hear it, is not waited for without end.
+func (p *publisher) waiting() (lines, all float64) {
+	most := slowest * (Millis(p.rules.queue/p.rules.pace) + p.rules.transit)
 	p.flights = slices.DeleteFunc(p.flights, func(f *flight) bool {
-		return f.left.len() == 0 && f.doubt == 0 || f.second && p.now >= f.clear
+		return f.doubt == 0 && (f.left.len() == 0 || p.now >= f.clear+most)
 	})
-	slow, all := false, 0.0
+	slow := false
 	for _, f := range p.flights {
 		own := f.lines()
 		all += own
@@ -836,9 +861,9 @@
 		slow = slow || !f.second && p.now > f.clear+p.rules.transit*3/2 && f.left.len()*2 > p.streams.len()
 	}
 	if slow {
-		return all
+		return all, all
 	}
-	return lines
+	return lines, all
 }
 
 func (p *publisher) doubt(n Unsure) {
@@ -856,17 +881,17 @@
 // double until one does. Without room for that it waits until it can't be on its way any more.
 // Nothing is written meanwhile: it would wait behind that, and seem to drain from a channel it is not in.
 func (p *publisher) again() (doubted bool) {
-	filled := p.waiting()
+	filled, all := p.waiting()
 	for _, f := range p.flights {
 		own := f.lines()
 		begins := f.clear - Millis(own/p.rules.pace)
-		if f.doubt == 0 || p.now < begins+p.rules.transit ||
-			filled+own > p.rules.queue*urgentPart && p.now < f.clear+3*p.rules.transit {
+		full := filled+own > p.rules.queue*urgentPart || all+own > p.rules.queue*surePart
+		if f.doubt == 0 || p.now < begins+p.rules.transit || full && p.now < f.clear+3*p.rules.transit {
 			doubted = doubted || f.doubt > 0
 			continue
 		}
 		p.clear = max(p.clear, p.now) + Millis(own/p.rules.pace)
-		f.clear, f.doubt, filled = p.clear, 0, filled+own
+		f.clear, f.doubt, filled, all = p.clear, 0, filled+own, all+own
 		// Proxies own up to both by one stamp: what they own up to first frees no room of the second.
 		second := &flight{serial: -1, clear: p.clear, second: true}
 		for n, lines := range f.left.all() {
@@ -923,7 +948,9 @@
 func (p *publisher) flush() {
 	levels, start := float64(len(p.rules.ways)), len(p.out)
 	cost := &flight{streams: &p.streams, each: p.rules.head + 1 + levels, queue: p.rules.queue}
-	cost.filled = p.waiting() + float64(p.streams.len())*cost.each
+	heads := float64(p.streams.len()) * cost.each
+	cost.filled, cost.unowned = p.waiting()
+	cost.filled, cost.unowned = cost.filled+heads, cost.unowned+heads
 	using := func(t TableID) func(*stream) bool {
 		return func(s *stream) bool { return p.rules.sliced || s.bound && s.table == t || t >= zoneTables }
 	}
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -253,9 +253,9 @@
 			g.asked[n.Route].add(g.now, gateMemory, float64(n.Calls))
 		}
 	case Joined:
-		g.joined++
+		g.joined.put(n.Proxy, true)
 	case Left:
-		g.joined--
+		g.joined.drop(n.Proxy)
 	case Due:
 		if g.now >= g.next {
 			g.next = g.now + checkEvery
@@ -299,8 +299,8 @@
 	case Custody:
 		p.own.drop(n.Slice)
 	case Joined:
-		if !p.rules.sliced {
-			p.adopt(TableID(n.Proxy)+1, nil)
+		if t := TableID(n.Proxy) + 1; !p.rules.sliced && !p.own.has(t) {
+			p.adopt(t, nil)
 		}
 	case Left:
 		if !p.rules.sliced {
@@ -352,12 +352,7 @@
 		}
 		p.unsettle()
 	case Applied:
-		for _, f := range p.flights {
-			if f.serial == n.Serial {
-				f.left.drop(n.Proxy)
-				f.doubt = 0
-			}
-		}
+		p.own(n)
 	case Unsure:
 		p.doubt(n)
 	case settleNow:
@@ -498,10 +493,10 @@
 		}
 	}
 	more := lines * float64(len(users))
-	if f.filled+more > f.queue*part {
+	if f.filled+more > f.queue*part || f.unowned+more > f.queue*surePart {
 		return false
 	}
-	f.filled += more
+	f.filled, f.unowned = f.filled+more, f.unowned+more
 	for _, n := range users {
 		f.left.put(n, f.left.get(n)+lines)
 	}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -191,7 +191,7 @@
 	usual  []float64 // calls a second by route when none was throttled
 	level  float64   // number of routes let in whole, the most important first
 	next   Millis
-	joined float64
+	joined shelf[ProxyID, bool]
 	told   levelled
 }
 
@@ -209,9 +209,10 @@
 	// While it is filled: who may get lines, what a message costs beside its own, and how full the queue gets.
 	streams             *shelf[ProxyID, *stream]
 	each, queue, filled float64
-	second              bool   // of a reply that was written again; nobody owns up to it by itself
-	doubt               Millis // since when it may not have reached the channel; 0: it did
-	clear               Millis // when the last of it leaves the channel at its usual pace
+	unowned             float64 // what proxies have not owned up to, with this
+	second              bool    // of a reply that was written again; nobody owns up to it by itself
+	doubt               Millis  // since when it may not have reached the channel; 0: it did
+	clear               Millis  // when the last of it leaves the channel at its usual pace
 }
 
 // publisher turns what is wanted into the fewest messages the channel is sure to carry.
