Lists, subscriptions and probes are told apart by their source; a proof counts while a call is remade

Read line by line: shutdown, list watches, retries, hand-overs. Ruled out: a late answer read as the next call's (ids are checked and the connection is dropped; a test forces it).

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -27,6 +27,7 @@
 	mostWaiting = 20_000 // orders that wait for the relay
 	leaveFor    = 300 * time.Millisecond
 	figuresFor  = 5 * time.Second
+	signOfLife  = logic.Millis(1200) // the relay gives one each second
 )
 
 // director is a running one. All but the inbox belongs to the goroutine of run.
@@ -47,21 +48,26 @@
 
 	calling  bool
 	doubted  bool         // the call in hand is unsure; the module says when it is made again
+	proven   bool         // a proxy owned up to the call in hand
 	resync   bool         // the present state is told anew: a call that ends unanswered now is void
 	relay    string       // where calls go from now on
+	follower int          // whose subscriptions are taken
+	newest   int          // of watches
 	source   int          // of the news that are taken; 0: none
 	alive    bool         // that source has not broken
+	told     logic.Millis // when it told something last
 	serial   atomic.Int64 // of the last subscription
 	follow   context.CancelFunc
-	leaving  []follower // of former addresses, until the new one serves
-	watching context.CancelFunc
+	leaving  []context.CancelFunc // followers of former relays, until the new one serves
+	watches  map[int]watcher      // the newest, and those of former addresses until it has spoken
+	stopping bool
 	notes    []any
 	counts   counts
 	heard    heard
 	slow     time.Duration // the longest turn
 }
 
-type follower struct {
+type watcher struct {
 	address string
 	end     context.CancelFunc
 }
@@ -101,7 +107,7 @@
 
 func newDirector(s *Start, log *slog.Logger) *director {
 	d := &director{Clock: turns.NewClock(), inbox: turns.NewInbox(), log: log, start: s, hosts: codec.NewHosts(),
-		box: outbox.New(outbox.Limits{CallBytes: callBytes, Waiting: mostWaiting}), book: news.New(),
+		watches: map[int]watcher{}, box: outbox.New(outbox.Limits{CallBytes: callBytes, Waiting: mostWaiting}), book: news.New(),
 		module: logic.New(s.Seed, s.Facts)}
 	d.book.Forgotten = d.box.Forget
 	r, wrong := d.hosts.Roster(s.Known, logic.FromDisk, s.Names)
@@ -110,27 +116,43 @@
 	return d
 }
 
-// connect follows the addresses of a configuration. A former relay's news go on until the new one's are there.
+// connect follows the addresses of a configuration. What former ones tell goes on until the new ones have spoken.
 func (d *director) connect(ctx context.Context, s *Start) {
 	if d.follow == nil || d.relay != s.Relay {
 		if d.follow != nil {
-			d.leaving = append(d.leaving, follower{d.relay, d.follow})
+			d.leaving = append(d.leaving, d.follow)
 		}
 		news, end := context.WithCancel(ctx)
-		d.relay, d.follow = s.Relay, end
-		go uplink.Follow(news, s.Relay, s.Names, func() int { return int(d.serial.Add(1)) }, d.inbox.Post, d.log)
+		number := func() int { return int(d.serial.Add(1)) }
+		d.relay, d.follow, d.follower = s.Relay, end, number()
+		go uplink.Follow(news, s.Relay, s.Names, d.follower, number, d.inbox.Post, d.log)
 	}
-	if d.watching == nil || d.start.Discovery != s.Discovery {
-		if d.watching != nil {
-			d.watching()
-		}
+	if d.watches[d.newest].address != s.Discovery {
 		list, end := context.WithCancel(ctx)
-		d.watching = end
-		go watch.Follow(list, s.Discovery, d.inbox.Post, d.log)
+		d.newest = int(d.serial.Add(1))
+		d.watches[d.newest] = watcher{s.Discovery, end}
+		go watch.Follow(list, s.Discovery, d.newest, d.inbox.Post, d.log)
 	}
 	d.start = s
 }
 
+// listed says whether a list is taken. Each list is a truth of its own: what a former address still had on its way when the new
+// one spoke is older, and would bring back hosts that have gone.
+func (d *director) listed(source int) bool {
+	if _, some := d.watches[source]; !some {
+		return false
+	}
+	if source == d.newest {
+		for n, w := range d.watches {
+			if n != source {
+				w.end()
+				delete(d.watches, n)
+			}
+		}
+	}
+	return true
+}
+
 // run is the loop.
 func (d *director) run(ctx context.Context, env func(string) string, signals <-chan os.Signal, failed <-chan error) error {
 	timer, figures := time.NewTimer(0), time.NewTicker(figuresFor)
@@ -147,15 +169,15 @@
 		case <-ends:
 			return nil
 		case sig := <-signals:
+			if d.stopping {
+				break // it leaves already: nothing prolongs that, and new addresses are for the next start
+			}
 			if sig == syscall.SIGHUP {
 				d.reload(ctx, env)
 				break
 			}
-			d.log.Info("director.stopping", "signal", sig.String(), "waiting", d.box.Waiting())
-			if !d.calling && d.box.Waiting() == 0 {
-				return nil
-			}
-			ends = time.After(leaveFor)
+			d.stopping, ends = true, time.After(leaveFor)
+			d.log.Info("director.stopping", "signal", sig.String(), "waiting", d.box.Waiting(), "calling", d.calling, "doubted", d.doubted)
 		case <-figures.C:
 			d.figures()
 		case <-d.inbox.Wake():
@@ -165,7 +187,7 @@
 		began := time.Now()
 		d.turn()
 		d.slow = max(d.slow, time.Since(began))
-		if ends != nil && !d.calling && d.box.Waiting() == 0 {
+		if d.stopping && d.box.InHand() == nil && d.box.Waiting() == 0 {
 			return nil
 		}
 		timer.Reset(d.wakeAfter())
@@ -212,19 +234,26 @@
 		d.heard.add(x.Note)
 		d.notes = append(d.notes, x.Note)
 	case watch.Told:
+		if !d.listed(x.Source) {
+			d.log.Info("list.late", "source", x.Source, "index", x.List.Index)
+			return
+		}
 		d.counts.lists++
 		r, wrong := d.hosts.Roster(x.List, logic.Whole, d.start.Names)
 		d.wrong("discovery", wrong)
 		d.notes = append(d.notes, r)
-	case logic.Probed:
+	case answer:
 		delete(d.probes.asked, x.Host)
-		d.notes = append(d.notes, x)
+		if x.address == d.hosts.Address(x.Host) { // what answered at a former address is no word of the host
+			d.notes = append(d.notes, x.Probed)
+		}
 	case uplink.Ended:
 		d.ended(x)
 	case uplink.Began:
-		d.subscribed(x)
+		d.subscribed(now, x)
 	case uplink.News:
 		if x.Source == d.source {
+			d.told = now
 			d.news(now, x.News)
 		}
 	case uplink.Broke:
@@ -318,6 +347,8 @@
 	if c := d.box.Next(); c != nil {
 		if c.Again() {
 			d.log.Debug("call.again", "id", c.ID, "ops", len(c.Ops))
+		} else {
+			d.proven = false
 		}
 		d.calling = true
 		d.counts.calls++
@@ -346,7 +377,10 @@
 		return
 	}
 	d.resync = false
-	if c := d.box.InHand(); e.How == outbox.Unsure && c != nil {
+	if c := d.box.InHand(); d.proven && c != nil && e.How != outbox.Answered {
+		d.log.Info("call.proven", "id", c.ID)
+		e.How, e.Taken = outbox.Answered, len(c.Ops) // whatever became of this answer: what it would tell is known
+	} else if e.How == outbox.Unsure && c != nil {
 		marked := c.Marked()
 		for _, m := range marked {
 			d.notes = append(d.notes, logic.Unsure{Serial: m})
@@ -374,9 +408,14 @@
 
 // applied ends an unsure call: it was carried out, and whole.
 func (d *director) applied(n logic.Applied) {
+	c := d.box.InHand()
+	if c == nil || d.proven || !slices.Contains(c.Marked(), n.Serial) {
+		return
+	}
+	d.proven = true // also where it is on its way: its answer may still get lost
 	if d.resolve(n.Serial) {
-		d.log.Info("call.proven", "id", d.box.InHand().ID, "by", int(n.Proxy))
-		d.finish(outbox.Answered, len(d.box.InHand().Ops), "")
+		d.log.Info("call.proven", "id", c.ID, "by", int(n.Proxy))
+		d.finish(outbox.Answered, len(c.Ops), "")
 	}
 }
 
@@ -392,16 +431,17 @@
 }
 
 // subscribed begins on a new subscription's news. Those of former ones are taken no more, and former addresses are let go.
-func (d *director) subscribed(b uplink.Began) {
-	if b.Address != d.relay {
+func (d *director) subscribed(now logic.Millis, b uplink.Began) {
+	if b.Follower != d.follower {
 		return // a former address that came back while it is left
 	}
-	continuous := d.source > 0 && d.alive
+	// A connection that has gone silent looks alive until its time is over; proxies may have left and come back meanwhile.
+	continuous := d.source > 0 && d.alive && now-d.told < signOfLife
 	d.log.Info("news.began", "source", b.Source, "address", b.Address, "continuous", continuous)
-	d.source, d.alive = b.Source, true
+	d.source, d.alive, d.told = b.Source, true, now
 	d.counts.begun++
-	for _, f := range d.leaving {
-		f.end()
+	for _, end := range d.leaving {
+		end()
 	}
 	d.leaving = nil
 	d.book.Begin(continuous)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -31,6 +31,7 @@
 	file    string
 	signals chan os.Signal
 	ended   chan error
+	log     *logged
 }
 
 func free(t *testing.T) string {
@@ -53,7 +54,7 @@
 // up starts a director of two proxies and four slices, of which h1 and h2 hold two each, with h3 beside.
 func up(t *testing.T) *stage {
 	s := &stage{t: t, relay: newRelay(t), agent: newAgent(t, "h1", "h2", "h3"), listen: free(t), file: filepath.Join(t.TempDir(), "config.json"),
-		signals: make(chan os.Signal, 4), ended: make(chan error, 1)}
+		signals: make(chan os.Signal, 4), ended: make(chan error, 1), log: &logged{}}
 	for p := range 2 {
 		s.relay.tell("joined", fmt.Sprintf(`"node":%d,"locality":"a","w":20,"cold":true`, p))
 	}
@@ -68,8 +69,15 @@
 
 func (s *stage) start() {
 	env := func(name string) string { return map[string]string{"GW_CONFIG": s.file}[name] }
-	go func() { s.ended <- Run(context.Background(), env, s.signals, slog.New(slog.DiscardHandler)) }()
-	s.t.Cleanup(func() { s.signals <- syscall.SIGTERM })
+	go func() {
+		s.ended <- Run(context.Background(), env, s.signals, slog.New(slog.NewTextHandler(s.log, nil)))
+	}()
+	s.t.Cleanup(func() {
+		select {
+		case s.signals <- syscall.SIGTERM:
+		default: // it has ended, and signals lie there that nobody takes
+		}
+	})
 	s.within("a sign of life", 2*time.Second, func() bool {
 		c, err := net.Dial("tcp", s.listen)
 		if err != nil {
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -31,6 +31,12 @@
 	address string
 }
 
+// answer is a probe's outcome, and where it was asked.
+type answer struct {
+	logic.Probed
+	address string
+}
+
 func newProber(ctx context.Context, names *codec.Names, post func(...any)) *prober {
 	p := &prober{names: names, client: watch.Client(0), asked: map[logic.HostID]bool{}, todo: make(chan probe, mostAsked), post: post}
 	for range mostProbes {
@@ -40,7 +46,7 @@
 				case <-ctx.Done():
 					return
 				case t := <-p.todo:
-					post(p.probe(ctx, t))
+					post(answer{p.probe(ctx, t), t.address})
 				}
 			}
 		}()
--- a/internal/platform/standin_test.go
+++ b/internal/platform/standin_test.go
@@ -162,6 +162,7 @@
 	change chan struct{}
 	http   *httptest.Server
 	asked  int
+	gate   chan struct{} // answers wait for it to be closed; nil: they don't wait
 }
 
 func newAgent(t *testing.T, hosts ...string) *agent {
@@ -198,6 +199,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.asked++
+	if gate := a.gate; gate != nil {
+		a.mu.Unlock()
+		select {
+		case <-gate:
+		case <-r.Context().Done():
+		}
+		a.mu.Lock()
+	}
 	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
 	if after, err := strconv.Atoi(r.FormValue("after")); err == nil && after == a.index {
 		change := a.change
--- a/internal/platform/uplink/uplink.go
+++ b/internal/platform/uplink/uplink.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"vetchwood/internal/nets"
@@ -106,9 +107,14 @@
 	}
 	c.used = time.Now()
 	c.conn.SetWriteDeadline(c.used.Add(writeFor))
-	if _, err := c.conn.Write(t.call.Text); err != nil {
+	if n, err := c.conn.Write(t.call.Text); err != nil {
 		c.drop()
-		return Ended{How: outbox.Unsent, Why: err.Error()} // its last byte never went
+		if n == 0 || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+			return Ended{How: outbox.Unsent, Why: err.Error()} // not a byte of it went
+		}
+		// A part went, and the rest was still being flushed when the time was over or the other side closed: the poller may have
+		// written the last byte meanwhile.
+		return Ended{How: outbox.Unsure, Why: err.Error()}
 	}
 	f, err := c.answer(t.call)
 	if err != nil {
@@ -140,10 +146,11 @@
 
 // What the news put into the inbox; Source tells one subscription from the next.
 type (
-	// Began says that the relay took the subscription.
+	// Began says that the relay took the subscription. Follower tells who follows: an address may be left and come back to while
+	// its former follower is still there.
 	Began struct {
-		Source  int
-		Address string
+		Follower, Source int
+		Address          string
 	}
 	News struct {
 		Source int
@@ -155,11 +162,11 @@
 	}
 )
 
-// Follow keeps subscribed at an address until the context ends; source numbers each subscription.
-func Follow(ctx context.Context, address string, names *codec.Names, source func() int, post func(...any), log *slog.Logger) {
+// Follow keeps subscribed at an address until the context ends; source numbers each subscription, and follower the follower.
+func Follow(ctx context.Context, address string, names *codec.Names, follower int, source func() int, post func(...any), log *slog.Logger) {
 	for failures := 0; ctx.Err() == nil; {
 		began, number := time.Now(), source()
-		err := subscribe(ctx, address, names, number, post, log)
+		err := subscribe(ctx, address, names, Began{follower, number, address}, post, log)
 		if ctx.Err() != nil {
 			return
 		}
@@ -172,7 +179,7 @@
 	}
 }
 
-func subscribe(ctx context.Context, address string, names *codec.Names, number int, post func(...any), log *slog.Logger) error {
+func subscribe(ctx context.Context, address string, names *codec.Names, start Began, post func(...any), log *slog.Logger) error {
 	conn, err := nets.Dial(address, dialFor)
 	if err != nil {
 		return err
@@ -197,12 +204,12 @@
 		case err != nil:
 			return err
 		case f.News != nil && taken:
-			post(News{number, *f.News})
+			post(News{start.Source, *f.News})
 		case f.News == nil && f.Error != "":
 			return errors.New(f.Error)
 		case f.News == nil && f.OK && !taken:
 			taken, by = true, silence
-			post(Began{number, address})
+			post(start)
 		default:
 			return fmt.Errorf("%w: %.200q", errOther, line)
 		}
--- /dev/null
+++ b/internal/platform/uplink/uplink_test.go
@@ -0,0 +1,103 @@
+package uplink
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"vetchwood/internal/platform/codec"
+	"vetchwood/internal/platform/outbox"
+)
+
+// ends makes calls of these texts, one after the other, at a relay that serves its first, second ... connection so.
+func ends(t *testing.T, serve func(c net.Conn, nth int), between func(), texts ...[]byte) (all []Ended) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for nth := 1; ; nth++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, nth)
+		}
+	}()
+	ended := make(chan Ended, 1)
+	c := NewCalls(&codec.Names{}, func(in ...any) { ended <- in[0].(Ended) }, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	for i, text := range texts {
+		if i > 0 && between != nil {
+			between()
+		}
+		c.Make(ln.Addr().String(), &outbox.Call{ID: uint64(i + 1), Text: text})
+		select {
+		case e := <-ended:
+			all = append(all, e)
+		case <-time.After(5 * time.Second):
+			t.Fatal("a call does not end")
+		}
+	}
+	return all
+}
+
+// The time to write is over while the rest of a call is still being flushed. Whether its last byte went is not known then: the
+// relay reads on and may have all of it.
+func TestAWriteThatIsCutOffIsUnsure(t *testing.T) {
+	got := ends(t, func(c net.Conn, _ int) { // reads nothing, and keeps the connection
+		t.Cleanup(func() { c.Close() })
+	}, nil, append(bytes.Repeat([]byte{' '}, 32<<20), '\n'))
+	if got[0].How != outbox.Unsure {
+		t.Errorf("%v: %s", got[0].How, got[0].Why)
+	}
+}
+
+// The relay resets the connection between two calls: the second goes by a connection of its own, or not a byte of it went.
+func TestAConnectionThatIsResetBetweenCallsLosesNone(t *testing.T) {
+	reset, done := make(chan struct{}), make(chan struct{})
+	got := ends(t, func(c net.Conn, nth int) {
+		if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+			return
+		}
+		fmt.Fprintf(c, `{"jsonrpc":"2.0","id":%d,"result":{"ok_count":0}}`+"\n", nth)
+		if nth == 1 {
+			<-reset
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			close(done)
+		}
+	}, func() { close(reset); <-done }, []byte("{}\n"), []byte("{}\n"))
+	if got[0].How != outbox.Answered || got[1].How != outbox.Answered && got[1].How != outbox.Unsent {
+		t.Errorf("%+v", got)
+	}
+}
+
+// The answer to the first call comes when the second is on its way: it is not taken for the second one's.
+func TestALateAnswerIsNotTheNextCalls(t *testing.T) {
+	late := make(chan struct{})
+	got := ends(t, func(c net.Conn, nth int) {
+		if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+			return
+		}
+		if nth == 1 {
+			<-late
+			fmt.Fprint(c, `{"jsonrpc":"2.0","id":1,"result":{"ok_count":0}}`+"\n")
+			return
+		}
+		close(late)
+		fmt.Fprint(c, `{"jsonrpc":"2.0","id":1,"result":{"ok_count":0}}`+"\n") // and once more where the second is waited for
+	}, nil, []byte("{}\n"), []byte("{}\n"))
+	if got[0].How != outbox.Unsure || got[1].How != outbox.Unsure {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/platform/watch/watch.go
+++ b/internal/platform/watch/watch.go
@@ -28,8 +28,11 @@
 	mostList = 8 << 20
 )
 
-// Told is put into the inbox with each answer.
-type Told struct{ codec.List }
+// Told is put into the inbox with each answer; Source tells one who follows from the next.
+type Told struct {
+	Source int
+	codec.List
+}
 
 // Client makes HTTP calls over our own sockets; idle ones are few and don't last.
 func Client(idle int) *http.Client {
@@ -60,7 +63,7 @@
 }
 
 // Follow posts what discovery tells until the context ends. It begins with the whole list, and does so again after each failure.
-func Follow(ctx context.Context, address string, post func(...any), log *slog.Logger) {
+func Follow(ctx context.Context, address string, source int, post func(...any), log *slog.Logger) {
 	client := Client(1)
 	defer client.CloseIdleConnections()
 	index, failures := int64(-1), 0
@@ -88,7 +91,7 @@
 		}
 		index, failures = l.Index, 0
 		if l.Snapshot || len(l.Endpoints) > 0 {
-			post(Told{l})
+			post(Told{source, l})
 		} else if spent := time.Since(began); spent < idleFor {
 			turns.Pause(ctx, idleFor-spent) // an agent that never waits is not asked without end
 		}
