--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -245,3 +249,25 @@
 		}
 	}
 }
+
+// Hosts that hang hold their probers for the whole time limit: a healthy one that is asked behind them does not wait for that.
+func TestHungHostsHoldNoProbeOfAHealthyOne(t *testing.T) {
+	hung, err := net.Listen("tcp", "127.0.0.1:0") // connections come up, and nothing is ever said
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hung.Close()
+	well := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer well.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answers := make(chan answer, 64)
+	p := newProber(ctx, alone(t).start.Names, func(in ...any) { answers <- in[0].(answer) })
+	for h := range 20 {
+		p.ask(logic.HostID(1+h), hung.Addr().String())
+	}
+	p.ask(99, well.Listener.Addr().String())
+	if first := <-answers; first.Host != 99 || !first.Good {
+		t.Errorf("host %d answered first, good: %v", first.Host, first.Good)
+	}
+}
--- a/internal/platform/outbox/outbox.go
+++ b/internal/platform/outbox/outbox.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 
 	"vetchwood/logic"
@@ -88,12 +89,13 @@
 type Box struct {
 	limits  Limits
 	waiting []Op
+	void    map[logic.TableID]bool // tables whose ops among these are to be dropped, all in one pass
 	call    *Call
 	next    uint64
 	Merged  uint64 // ops that a later one made void before they were sent
 }
 
-func New(l Limits) *Box { return &Box{limits: l} }
+func New(l Limits) *Box { return &Box{limits: l, void: map[logic.TableID]bool{}} }
 
 // ErrFull is that more waits than may. All that waited is dropped.
 var ErrFull = errors.New("more orders wait for the relay than may: all that were not sent are dropped")
@@ -102,7 +104,7 @@
 // call is one message to each proxy, and a channel that stood still must not be sent all turns at once. What a later turn sets
 // anew goes only once then.
 func (b *Box) Add(turn []Op) (dropped []Op, err error) {
-	if len(b.waiting) > 0 {
+	if b.sweep(); len(b.waiting) > 0 {
 		later := map[slot]bool{}
 		cleared := map[logic.TableID]bool{}
 		for _, o := range turn {
@@ -133,11 +135,26 @@
 	b.waiting = kept
 }
 
-// Forget drops what waits for a table: it is in our charge no more, or was told anew.
-func (b *Box) Forget(t logic.TableID) { b.drop(func(o Op) bool { return o.Table == t }) }
+// Forget drops what waits for a table: it is in our charge no more, or was told anew. A director that takes over may forget a
+// thousand at once: they are dropped together.
+func (b *Box) Forget(t logic.TableID) {
+	if len(b.waiting) > 0 {
+		b.void[t] = true
+	}
+}
+
+func (b *Box) sweep() {
+	if len(b.void) > 0 {
+		b.drop(func(o Op) bool { return b.void[o.Table] })
+		clear(b.void)
+	}
+}
 
 // Waiting is how many ops wait, beside those of the call in hand.
-func (b *Box) Waiting() int { return len(b.waiting) }
+func (b *Box) Waiting() int {
+	b.sweep()
+	return len(b.waiting)
+}
 
 // InHand is the call in hand, nil if there is none.
 func (b *Box) InHand() *Call { return b.call }
@@ -145,11 +162,13 @@
 // Next is the call to make now: the one in hand, if it ended without an answer, or a new one. Nil: nothing is to be said. It is not
 // asked while a call is on its way.
 func (b *Box) Next() *Call {
-	if b.call == nil && len(b.waiting) > 0 {
+	if b.sweep(); b.call == nil && len(b.waiting) > 0 {
 		n := b.part()
 		b.next++
 		b.call = &Call{ID: b.next, Ops: append([]Op(nil), b.waiting[:n]...)}
-		b.waiting = append([]Op(nil), b.waiting[n:]...)
+		if b.waiting = b.waiting[n:]; len(b.waiting) == 0 {
+			b.waiting = nil // what went is not held on to
+		}
 		b.call.write()
 	}
 	if b.call != nil {
@@ -171,28 +190,41 @@
 	if fits == len(b.waiting) {
 		return fits
 	}
-	tables := func(n int) bool { // whether a table's ops stand on both sides of the cut
-		for i := n; i < len(b.waiting); i++ {
-			if t := b.waiting[i].Table; t != NoTable {
-				for _, o := range b.waiting[:n] {
-					if o.Table == t {
-						return true
-					}
-				}
-			}
+	// How many tables' ops stand on both sides of the cut, while it moves towards the front.
+	before, behind, both := map[logic.TableID]int{}, map[logic.TableID]bool{}, 0
+	for _, o := range b.waiting[:fits] {
+		before[o.Table]++
+	}
+	for _, o := range b.waiting[fits:] {
+		if t := o.Table; before[t] > 0 && t != NoTable && !behind[t] {
+			behind[t] = true
+			both++
 		}
-		return false
 	}
 	for n := fits; n > 0; n-- {
-		if !tables(n) {
+		if both == 0 {
 			return b.unmarked(n)
 		}
+		o := b.waiting[n-1]
+		if before[o.Table]--; o.Table == NoTable {
+			continue
+		}
+		if !behind[o.Table] {
+			behind[o.Table] = true
+			both++
+		}
+		if before[o.Table] == 0 {
+			both--
+		}
 	}
 	return b.unmarked(fits) // one table alone is more than a call takes
 }
 
 // unmarked moves the marks among the first n ops behind the others.
 func (b *Box) unmarked(n int) int {
+	if !slices.ContainsFunc(b.waiting[:n], func(o Op) bool { return o.Kind == Mark }) {
+		return n
+	}
 	var first, marks, rest []Op
 	for i, o := range b.waiting {
 		switch {
@@ -236,6 +268,7 @@
 
 // Reset drops the call in hand and all that waits, and gives their ops.
 func (b *Box) Reset() (dropped []Op) {
+	b.sweep()
 	if b.call != nil {
 		dropped = b.call.Ops
 	}
--- a/internal/platform/outbox/outbox_test.go
+++ b/internal/platform/outbox/outbox_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -169,3 +171,43 @@
 		t.Fatalf("%v: %d dropped, %d wait", err, len(dropped), b.Waiting())
 	}
 }
+
+// A turn of a director that holds everything: it is cut, and forgotten, in time that grows with the orders, not with their square.
+func TestManyOrdersAreCutAndForgottenInTime(t *testing.T) {
+	const tables = 10_000
+	turn := func() (ops []Op) {
+		for i := range tables {
+			for h := range 2 {
+				ops = append(ops, Op{Text: strings.Repeat("x", 70), Kind: Line, Table: logic.TableID(i), Host: logic.HostID(h), Weight: 1})
+			}
+		}
+		return append(ops, Op{Text: "m", Kind: Mark, Table: NoTable, Serial: 1})
+	}
+	began := time.Now()
+	b := New(Limits{CallBytes: 59_000, Waiting: 4 * tables})
+	b.Add(turn())
+	calls, last := 0, logic.TableID(-1)
+	for c := b.Next(); c != nil; c = b.Next() {
+		calls++
+		if c.Ops[0].Table == last {
+			t.Fatalf("table %d is cut in two", last)
+		}
+		last = c.Ops[len(c.Ops)-1].Table
+		b.Ended(Answered, len(c.Ops))
+	}
+	b.Add(turn())
+	for i := range tables - 1 {
+		b.Forget(logic.TableID(i))
+	}
+	if n := b.Waiting(); n != 3 {
+		t.Errorf("%d wait, wanted two lines and a mark", n)
+	}
+	b.Forget(tables - 1)
+	b.Add([]Op{{Text: "x", Kind: Line, Table: tables - 1, Host: 5}})
+	if n := b.Waiting(); n != 2 {
+		t.Errorf("%d wait: what comes after it is not forgotten", n)
+	}
+	if spent := time.Since(began); spent > time.Second || calls < 20 {
+		t.Errorf("%d calls, %v", calls, spent)
+	}
+}
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -12,7 +12,7 @@
 
 const (
 	probeFor   = time.Second
-	mostProbes = 8 // at once
+	mostProbes = 32 // at once: of the hosts of a release one of eight may hang, and each holds its place for the whole time
 	mostAsked  = 64
 	mostReport = 4 << 10
 )
