--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -107,6 +107,11 @@
 	if !d.alive {
 		t.Error("its end was taken for that of ours")
 	}
+	d.take(3, uplink.Began{Follower: 5, Source: 12, Address: "r"})
+	d.take(4, uplink.Broke{Source: 6}) // the former one's end comes behind the new one's beginning
+	if d.source != 12 || !d.alive {
+		t.Error("the end of the former subscription was taken for the new one's")
+	}
 }
 
 // The former subscription has gone silent when the new one begins: nobody knows who left and came back in that silence.
@@ -271,3 +276,32 @@
 		t.Errorf("host %d answered first, good: %v", first.Host, first.Good)
 	}
 }
+
+// The relay is changed while a call is in doubt: the word to make it again comes all the same, and it goes to the new relay.
+func TestADoubtfulCallGoesToTheNewRelay(t *testing.T) {
+	s := up(t)
+	former := s.relay
+	former.fate(strings.Fields(strings.Repeat("silent ", 100))...)
+	s.agent.set("h1", 0, "leaving")
+	s.within("the call is in doubt", grace, s.log.has("msg=call.failed"))
+	s.relay = newRelay(t)
+	s.relay.say = former.say
+	s.configure(s.agent.whole())
+	s.signals <- syscall.SIGHUP
+	s.within("the mask at the new relay", grace, s.drained("h1"))
+	s.within("the lines", 3*time.Second, s.moved("h1"))
+}
+
+// All proxies leave while a call is in doubt, so that nobody is left to own up to it: calls go on.
+func TestADoubtfulCallIsMadeAgainWithoutProxies(t *testing.T) {
+	s := up(t)
+	s.relay.fate("silent", "before", "silent")
+	s.agent.set("h1", 0, "leaving")
+	s.within("the call is in doubt", grace, s.log.has("msg=call.failed"))
+	s.relay.tell("left", `"node":0`)
+	s.relay.tell("left", `"node":1`)
+	s.within("it is made again", grace, func() bool { return s.relay.see(func() bool { return s.relay.calls > 3 }) })
+	s.relay.tell("joined", `"node":0,"locality":"a","w":20,"cold":true`)
+	s.agent.set("h2", 1, "leaving")
+	s.within("the next mask", grace, s.drained("h2"))
+}
