Levels and tries follow the reckoning at once while a third of the fleet is fresh

Cause: gate.weigh. Six in ten hosts are replaced within 7 s. What can be done falls at once, and the gate reckons so (hosts yet to show what they can do count half of their grown part); but the busy share of those that have shown it is 6 to 8 s old at size and still low, and "hosts with room to spare belie the reckoning" undid the cut. All was let in and tried twice, calls came again (1.4 tries each), and the jam stayed on the slices of the slow hosts. Now, with more than a third of the usable hosts fresh, that busy share belies nothing and there is no second try. Beside it a cold host bears its share and no more, and a slice that fits nowhere goes to a warm one.

Ids do not decide who gets most (no trend by rank).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,10 +46,11 @@
 
 	restFor = Millis(2000) // a jammed host is left alone for so long, and then as long at least in use
 
-	full      = 0.8 // busy share from which a host that turns calls away has too much to do, not a fault
-	strain    = 0.8 // tries for each that the fleet can do: the gate steers to it
-	idle      = 0.7 // busy share of the fleet below which nothing is throttled
-	levelEase = 0.1 // a second, in routes
+	full      = 0.8     // busy share from which a host that turns calls away has too much to do, not a fault
+	strain    = 0.8     // tries for each that the fleet can do: the gate steers to it
+	idle      = 0.7     // busy share of the fleet below which nothing is throttled
+	crowd     = 1.0 / 3 // fresh part of the fleet from which reports of the others are too old to tell of it
+	levelEase = 0.1     // a second, in routes
 	levelLow  = 0.05
 
 	commonTable TableID = 0
@@ -442,7 +443,7 @@
 	}
 	for _, s := range p.seats.all() {
 		s.share *= p.total / max(shares, 1e-9)
-		if s.bears = s.share * p.most(); s.busy > 0 && s.busy < roomy && !s.cold && s.spent < usual*3/2 {
+		if s.bears = s.share * p.most(s); s.busy > 0 && s.busy < roomy && !s.cold && s.spent < usual*3/2 {
 			// A reckoned share is rough, and among many hosts some is always far off: one that has room to spare,
 			// and answers as fast as others, is not over-worked whatever was reckoned.
 			s.bears = max(s.bears, s.load*roomy/s.busy)
@@ -451,8 +452,11 @@
 }
 
 // most is the imbalance tolerated: beyond the maximum while even the fullest host has room, since a move then
-// only costs warm keys.
-func (p *placer) most() float64 {
+// only costs warm keys. What a cold host can do is not known: it gets no more than it was supposed to have.
+func (p *placer) most(s *seat) float64 {
+	if s.cold {
+		return 1
+	}
 	if p.around.pressure == 0 {
 		return maximum // nothing is known yet
 	}
@@ -509,7 +513,7 @@
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
 			if next := p.seats.get(pc.spare); next != nil && next.in && !next.fresh && (s == nil || !s.in) &&
-				len(pc.parts) == 1 && next.load+load <= next.share*p.most() {
+				len(pc.parts) == 1 && next.load+load <= next.share*p.most(next) {
 				// Its calls go to the standby already, and find keys warm there: a move now would cost both again.
 				s, l.host = next, pc.spare
 			}
@@ -559,6 +563,20 @@
 	return best
 }
 
+// warmest is the roomiest warm host, for a leaf that fits no host; none: the one given.
+func (p *placer) warmest(but, given *seat) *seat {
+	var best *seat
+	for _, s := range p.seats.all() {
+		if s.in && s != but && !s.cold && (best == nil || s.share-s.load > best.share-best.load) {
+			best = s
+		}
+	}
+	if best == nil {
+		return given
+	}
+	return best
+}
+
 // run is the paper's algorithm over the free blocks.
 func (p *placer) run(onlyMust bool) {
 	p.loosen(onlyMust)
@@ -573,7 +591,7 @@
 	for _, l := range leaves {
 		home.load += l.load
 	}
-	for s := p.roomiest(home); home.load > home.share*p.most() && len(leaves) > 0; s = p.roomiest(home) {
+	for s := p.roomiest(home); home.load > home.share*p.most(home) && len(leaves) > 0; s = p.roomiest(home) {
 		if s == nil || s.share <= s.load {
 			break
 		}
@@ -582,13 +600,16 @@
 		leaves = leaves[1:]
 		room := s.share - s.load
 		if l.load < min(p.total*chunk, s.share*chunkPart) {
-			room = s.share*p.most() - s.load
+			room = s.share*p.most(s) - s.load
 		}
 		if l.load > room {
 			if halves := p.split(l, s.share); halves != nil {
 				leaves = append(leaves, halves...)
 				continue
 			}
+			if s.cold { // a warm host bears it better
+				s = p.warmest(home, s)
+			}
 		}
 		p.assign(l, s.id)
 		s.load += l.load
@@ -710,10 +731,11 @@
 // weigh compares the calls that come with what hosts can do and lets in the part that fits. Tries would not
 // do: they end late, and those of a jam would throttle what comes after it.
 func (g *gate) weigh() {
-	able, tried, lost, busy, of := 0.0, 0.0, 0.0, 0.0, 0.0
+	able, tried, lost, busy, of, fresh, usable := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 	each := g.usualAble()
 	for _, s := range g.seats.all() {
 		if s.usable {
+			usable, fresh = usable+1, fresh+float64(bit(s.fresh, 0))
 			if s.able == 0 { // it has yet to show what it can do, and many such come at once in a release
 				able += each * s.prior * s.grown / 2
 			}
@@ -746,7 +768,7 @@
 	}
 	if g.rules.levels != NoLevels && able > 0 && usual > 0 {
 		want, excess := top, usual*(1-strain*able/max(all, 0.1))
-		if of > 0 && busy < of*idle {
+		if of > 0 && busy < of*idle && fresh <= usable*crowd {
 			excess = 0 // hosts with room to spare belie the reckoning
 		}
 		for _, r := range g.rules.cheap {
@@ -762,7 +784,7 @@
 	for i, r := range g.rules.cheap {
 		part := max(levelLow, min(1, g.level-(top-1-float64(i))))
 		now.level[r], now.tries[r] = math.Round(part*20)/20, g.rules.ways[r]
-		if g.level < top || around.pressure > strain {
+		if g.level < top || around.pressure > strain || fresh > usable*crowd {
 			now.tries[r] = min(1, now.tries[r]) // a further try adds work just where there is too much
 		}
 		if g.rules.levels == LevelRate {
