--- a/logic/logic.go
+++ b/logic/logic.go
@@ -553,30 +553,17 @@
 	return append(p.blocks(first, span/2), p.blocks(first+span/2, span/2)...)
 }
 
-func (p *placer) roomiest(but *seat) *seat {
+// roomiest is the host with the most room but for one, of all or of the warm ones alone; nil: there is none.
+func (p *placer) roomiest(but *seat, warm bool) *seat {
 	var best *seat
 	for _, s := range p.seats.all() {
-		if s.in && s != but && (best == nil || s.share-s.load > best.share-best.load) {
+		if s.in && s != but && !(warm && s.cold) && (best == nil || s.share-s.load > best.share-best.load) {
 			best = s
 		}
 	}
 	return best
 }
 
-// warmest is the roomiest warm host, for a leaf that fits no host; none: the one given.
-func (p *placer) warmest(but, given *seat) *seat {
-	var best *seat
-	for _, s := range p.seats.all() {
-		if s.in && s != but && !s.cold && (best == nil || s.share-s.load > best.share-best.load) {
-			best = s
-		}
-	}
-	if best == nil {
-		return given
-	}
-	return best
-}
-
 // run is the paper's algorithm over the free blocks.
 func (p *placer) run(onlyMust bool) {
 	p.loosen(onlyMust)
@@ -584,14 +571,15 @@
 	for n := p.own.len(); n > 0 && span <= int(p.own.sorted()[n-1]); {
 		span *= 2
 	}
-	leaves, home := p.blocks(0, span), p.roomiest(nil)
+	leaves, home := p.blocks(0, span), p.roomiest(nil, false)
 	if home == nil {
 		return
 	}
 	for _, l := range leaves {
 		home.load += l.load
 	}
-	for s := p.roomiest(home); home.load > home.share*p.most(home) && len(leaves) > 0; s = p.roomiest(home) {
+	for home.load > home.share*p.most(home) && len(leaves) > 0 {
+		s := p.roomiest(home, false)
 		if s == nil || s.share <= s.load {
 			break
 		}
@@ -607,8 +595,8 @@
 				leaves = append(leaves, halves...)
 				continue
 			}
-			if s.cold { // a warm host bears it better
-				s = p.warmest(home, s)
+			if s.cold {
+				s = cmp.Or(p.roomiest(home, true), s) // a warm one bears an overload, a cold one falls over
 			}
 		}
 		p.assign(l, s.id)
