Director logs what admission reckons with, each second that it is strained

Tries in host.changed were decaying sums beside a rate; both are rates now, and a host never heard of says so.

--- a/internal/platform/decisions.go
+++ b/internal/platform/decisions.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -30,11 +31,47 @@
 func (d *director) logHostChanges() {
 	for _, c := range d.module.Changes() {
 		d.log.Info("host.changed", "host", d.hosts.NameOf(c.Host), "from", c.From.String(), "to", c.To.String(),
-			"why", c.Reason.String(), "tries", round(c.Ended), "failed", round(c.Failed), "busy", round(c.Busy),
-			"quiet_ms", int(c.Quiet), "expected", round(c.Expected))
+			"why", c.Reason.String(), "tries_per_s", round(c.Ended), "failed_per_s", round(c.Failed),
+			"busy", round(c.Busy), "quiet_ms", quiet(c), "expected_per_s", round(c.Expected))
 	}
 }
 
+// quiet is the time since the last report of a host, for the log: a host that was not reported on has none.
+func quiet(c logic.HostChange) string {
+	if !c.Heard {
+		return "never"
+	}
+	return strconv.Itoa(int(c.Quiet))
+}
+
+// reportLoad writes what admission reckons with, each second in which calls are turned away, hosts are full or answers
+// are late, and once when that is over.
+func (d *director) reportLoad() {
+	r := d.module.Load()
+	strained := r.Full > 0 || r.AnswerTime > d.start.tightestGoal()
+	for _, level := range slices.Concat(r.Levels, r.Written) {
+		strained = strained || level < 1
+	}
+	if !strained && !d.strained {
+		return
+	}
+	d.strained = strained
+	d.log.Info("load", "calls_per_s", round(r.Calls), "let_in_per_s", round(r.LetIn),
+		"unanswered_per_s", round(r.Unanswered), "tries_per_s", round(r.Tries), "demand_per_s", round(r.Demand),
+		"capacity_per_s", round(r.Capacity), "busy", round(r.Busy), "loss", round(r.Loss),
+		"answer_ms", int(r.AnswerTime), "in_hand", round(r.InHand), "full_hosts", r.Full, "hosts", r.InUse,
+		"levels", joined(r.Levels), "levels_written", joined(r.Written), "written_for_ms", int(r.WrittenFor))
+}
+
+// tightestGoal is the shortest time within which a route wants its answers.
+func (s *Start) tightestGoal() logic.Millis {
+	goal := logic.Millis(math.Inf(1))
+	for _, route := range s.Facts.Routes {
+		goal = min(goal, route.SLO)
+	}
+	return goal
+}
+
 // reportDecisions writes what the module believes and wants: demand against capacity, levels, hosts by condition,
 // and what waits.
 func (d *director) reportDecisions() {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -27,6 +27,7 @@
 	mostWaiting = 20_000 // orders that wait for the relay
 	leaveFor    = 300 * time.Millisecond
 	figuresFor  = 5 * time.Second
+	loadFor     = time.Second
 	signOfLife  = logic.Millis(1200) // the relay gives one each second
 )
 
@@ -65,6 +66,7 @@
 	counts   counts
 	heard    heard
 	lag      lag
+	strained bool          // as last reported
 	slow     time.Duration // the longest turn
 }
 
@@ -156,9 +158,10 @@
 
 // run is the loop.
 func (d *director) run(ctx context.Context, env func(string) string, signals <-chan os.Signal, failed <-chan error) error {
-	timer, figures := time.NewTimer(0), time.NewTicker(figuresFor)
+	timer, figures, load := time.NewTimer(0), time.NewTicker(figuresFor), time.NewTicker(loadFor)
 	defer timer.Stop()
 	defer figures.Stop()
+	defer load.Stop()
 	gather := time.Duration(float64(d.start.Resolution) * float64(time.Millisecond))
 	var ends, again <-chan time.Time
 	var asked time.Time // when a reload was
@@ -185,6 +188,8 @@
 			again = d.reload(ctx, env, asked)
 		case <-figures.C:
 			d.figures()
+		case <-load.C:
+			d.reportLoad()
 		case <-d.inbox.Wake():
 			time.Sleep(gather) // for company
 		case <-timer.C:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -101,7 +101,7 @@
 	d.publish.place = d.place
 	n := len(f.Routes)
 	d.gate = &gate{loop: &d.loop, to: d.publish, place: d.place, level: float64(n), asked: make([]sum, n),
-		usual: make([]float64, n)}
+		unanswered: make([]sum, n), usual: make([]float64, n)}
 	return d
 }
 
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -108,6 +108,7 @@
 	case Heat:
 		if int(n.Route) < len(g.asked) {
 			g.asked[n.Route].add(g.now, gateMemory, float64(n.Calls))
+			g.unanswered[n.Route].add(g.now, gateMemory, float64(n.Lost))
 		}
 	case Joined:
 		g.joined.put(n.Proxy, true)
--- a/logic/observe.go
+++ b/logic/observe.go
@@ -1,5 +1,7 @@
 package logic
 
+import "math"
+
 // What operators are told of the decisions: changes of hosts as they happen, and a report of the present state.
 // Nothing here decides, and nothing that decides reads it.
 
@@ -45,10 +47,25 @@
 	Host          HostID
 	From, To      Condition
 	Reason        Reason
-	Ended, Failed float64 // tries lately
+	Ended, Failed float64 // tries a second, lately
 	Busy          float64
-	Quiet         Millis  // since the last report of it
-	Expected      float64 // calls a second laid on it
+	Heard         bool    // whether it was reported on since it entered its state
+	Quiet         Millis  // since the last report of it, if it was heard
+	Expected      float64 // calls a second that standing tables bring it
+}
+
+// LoadReport is what admission reckons with, and what it has come to.
+type LoadReport struct {
+	Calls, LetIn, Unanswered float64 // calls a second that came, were let in, and were let in and got no answer
+	Demand, Capacity, Tries  float64 // a second, as reckoned
+	Busy, Loss               float64
+	AnswerTime               Millis    // mean of the answers at hosts
+	InHand                   float64   // calls that hosts hold at a time
+	Levels                   []float64 // by route, as wanted
+	Written                  []float64 // by route, as last written; nil: unknown
+	WrittenFor               Millis    // since they were
+	Full                     int       // hosts in use that report full work
+	InUse                    int
 }
 
 // HostReport is one host in a Report.
@@ -112,6 +129,34 @@
 	return r
 }
 
+// Load tells what admission reckons with.
+func (d *Director) Load() LoadReport {
+	g, p := d.gate, d.publish
+	r := LoadReport{Demand: g.demand, Capacity: g.capacity, Busy: g.around.busy, Loss: g.around.loss,
+		Levels: p.levels.level, Written: p.stood.level, WrittenFor: d.now - p.stoodAt}
+	for route := range g.asked {
+		calls := g.asked[route].rate(d.now, gateMemory, 0)
+		r.Calls += calls
+		r.Unanswered += g.unanswered[route].rate(d.now, gateMemory, 0)
+		if part := 1.0; p.stood.level != nil && g.rules.levels == LevelShare {
+			part = min(part, p.stood.level[route])
+			r.LetIn += calls * part
+		}
+	}
+	answers := 0.0
+	for _, s := range g.seats.all() {
+		if !s.usable {
+			continue
+		}
+		good := s.flow * (1 - s.loss)
+		r.InUse, r.Tries, answers = r.InUse+1, r.Tries+s.flow, answers+good
+		r.InHand += good * s.spent / 1000
+		r.Full += int(bit(s.busy > full, 0))
+	}
+	r.AnswerTime = Millis(r.InHand * 1000 / max(answers, 0.1))
+	return r
+}
+
 func (h *host) condition() Condition {
 	switch {
 	case !h.known:
@@ -136,8 +181,10 @@
 	if to == h.shown {
 		return
 	}
+	perSecond := 1000 * math.Ln2 / float64(h.rules.health) // of a decaying sum
 	h.changes = append(h.changes, HostChange{Host: h.id, From: h.shown, To: to, Reason: why,
-		Ended: h.ended.read(h.now, h.rules.health), Failed: h.lost.read(h.now, h.rules.health), Busy: h.busy,
-		Quiet: h.now - h.lastLine, Expected: h.due})
+		Ended:  h.ended.read(h.now, h.rules.health) * perSecond,
+		Failed: h.lost.read(h.now, h.rules.health) * perSecond,
+		Busy:   h.busy, Heard: h.lastLine > 0, Quiet: h.now - h.lastLine, Expected: h.due})
 	h.shown = to
 }
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -206,15 +206,17 @@
 type gate struct {
 	inbox
 	*loop
-	to     *publisher
-	place  *placer
-	seats  shelf[HostID, standing]
-	asked  []sum
-	usual  []float64 // calls a second by route when none was throttled
-	level  float64   // number of routes let in whole, the most important first
-	next   Millis
-	joined shelf[ProxyID, bool]
-	told   levelled
+	to    *publisher
+	place *placer
+	seats shelf[HostID, standing]
+	asked []sum
+	// unanswered are calls that were let in and got no answer, by route.
+	unanswered []sum
+	usual      []float64 // calls a second by route when none was throttled
+	level      float64   // number of routes let in whole, the most important first
+	next       Millis
+	joined     shelf[ProxyID, bool]
+	told       levelled
 	// As last reckoned, for the report.
 	around           fleet
 	demand, capacity float64 // calls a second, of all and of what hosts can answer
@@ -255,6 +257,7 @@
 	serial            SerialID
 	clear             Millis // when the channel is empty at its usual pace
 	levels, stood     levelled
+	stoodAt           Millis                 // when stood was written
 	doors             shelf[HostID, opening] // hosts that were ever out, as wanted
 	turned            shelf[HostID, Millis]  // when that changed last
 	masked            shelf[HostID, bool]    // the same as last written, where that is known
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -196,7 +196,7 @@
 			p.order(Throttle{EveryTable, 1 << i, level, p.levels.tries[i]})
 		}
 	}
-	p.stood = p.levels
+	p.stood, p.stoodAt = p.levels, p.now
 }
 
 // changes are what must be written of a table, new lines before those that go, so that it is never bare.
