--- /dev/null
+++ b/internal/platform/burst_test.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+)
+
+const (
+	calmFor   = 6 * time.Second
+	burstFor  = 12 * time.Second
+	burstSeen = 4 * time.Second // reports, levels and the calls that hosts hold by then
+	burstMore = 2               // times the usual demand beside it, in all 1.7 times what the hosts can do
+)
+
+// The calls come to three times the usual demand at once, and callers make those again that are turned away. What the
+// hosts can't do is turned away within seconds; what is let in is answered in time, during the burst and after it.
+// Issue 34, its two reports.
+func TestBurstIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
+	demand := make([]float64, fleetSlices)
+	for i := range demand {
+		demand[i] = 1 / math.Sqrt(1+float64(i*7%fleetSlices))
+	}
+	f := newFleet(t, demand)
+	f.repeats = 2
+	listen := f.startDirector()
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go f.report(ctx, listen)
+	go f.demandCalls(ctx)
+	time.Sleep(calmFor)
+	calm := f.outcomes()
+	burst, over := context.WithTimeout(ctx, burstFor)
+	defer over()
+	for range burstMore {
+		go f.demandCalls(burst)
+	}
+	time.Sleep(burstSeen)
+	seen := f.outcomes()
+	time.Sleep(burstFor - burstSeen)
+	during := f.outcomes()
+	time.Sleep(callDue + calmFor)
+	met, steady, after := seen.since(calm), during.since(seen), f.outcomes().since(during)
+	t.Logf("calm %+v, burst met %+v, during %+v, after %+v", calm, met, steady, after)
+	if late := steady.late + steady.unanswered; late*10 > steady.all() {
+		t.Errorf("%d of %d calls were answered late or not at all, %v after a burst began", late, steady.all(), burstSeen)
+	}
+	if steady.inTime*4 < steady.all() {
+		t.Errorf("%d of %d calls were answered in time in a burst of 1.7 times what the hosts can do", steady.inTime, steady.all())
+	}
+	if late := after.late + after.unanswered; late*20 > after.all() {
+		t.Errorf("%d of %d calls were answered late or not at all after a burst", late, after.all())
+	}
+	f.explain("msg=load")
+}
--- a/internal/platform/rollout_test.go
+++ b/internal/platform/rollout_test.go
@@ -50,6 +50,7 @@
 	callDue      = 3 * time.Second        // the time limit of the route in settings
 	callGoal     = 1200 * time.Millisecond
 	reportEvery  = 500 * time.Millisecond
+	repeatAfter  = 200 * time.Millisecond // on average, before a call that was turned away is made again
 	transit      = 300 * time.Millisecond // of an order to its proxies
 	warmFor      = 4 * time.Second
 	replaceEvery = 1000 * time.Millisecond
@@ -74,6 +75,8 @@
 	tries map[string]*tried // since the last report, by host
 	calls map[int]int       // the same, by slice
 	ended outcomes
+	// repeats is how often a caller makes a call again that was turned away.
+	repeats int
 }
 
 type tried struct {
@@ -84,6 +87,14 @@
 
 type outcomes struct{ inTime, late, refused, unanswered int }
 
+func (o outcomes) all() int { return o.inTime + o.late + o.refused + o.unanswered }
+
+// since is what came after an earlier count.
+func (o outcomes) since(before outcomes) outcomes {
+	return outcomes{o.inTime - before.inTime, o.late - before.late, o.refused - before.refused,
+		o.unanswered - before.unanswered}
+}
+
 func newFleet(t *testing.T, demand []float64) *fleet {
 	f := &fleet{t: t, relay: newRelay(t), agent: newAgent(t), log: &logged{}, hosts: map[string]*standin.Host{}, gone: map[string]time.Time{},
 		tries: map[string]*tried{}, calls: map[int]int{}, demand: pick.NewAlias(demand),
@@ -171,15 +182,29 @@
 	return hosts, weights
 }
 
-// call makes one call for a slice, as a plain proxy does: by the weights of its table, and once.
+// call makes one call for a slice, and makes it again for as often as callers do when it is turned away.
 func (f *fleet) call(slice int) {
+	for range f.repeats {
+		if f.try(slice) {
+			return
+		}
+		time.Sleep(repeatAfter/2 + rand.N(repeatAfter))
+	}
+	if !f.try(slice) {
+		f.mu.Lock()
+		f.ended.refused++
+		f.mu.Unlock()
+	}
+}
+
+// try sends a call as a plain proxy does: by the weights of its table, and once. False: it was turned away.
+func (f *fleet) try(slice int) (taken bool) {
 	hosts, weights := f.open(slice)
 	f.mu.Lock()
 	f.calls[slice]++
 	if len(hosts) == 0 {
-		f.ended.refused++
 		f.mu.Unlock()
-		return
+		return false
 	}
 	name := hosts[pick.NewAlias(weights).Draw(rand.Float64())]
 	address := f.hosts[name].Address
@@ -213,13 +238,20 @@
 		} else {
 			f.ended.late++
 		}
-		return
+		return true
 	case errors.Is(err, context.DeadlineExceeded):
 		f.ended.unanswered++
-	default:
-		f.ended.refused++
+		taken = true
 	}
 	t.failed++
+	return taken
+}
+
+// outcomes are those of the calls that have ended.
+func (f *fleet) outcomes() outcomes {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended
 }
 
 // demandCalls makes calls at an even pace until the context ends.
@@ -341,10 +373,8 @@
 		mostStale = max(mostStale, len(f.stale()))
 	}
 	time.Sleep(callDue + staleAfter)
-	f.mu.Lock()
-	ended := f.ended
-	f.mu.Unlock()
-	all := ended.inTime + ended.late + ended.refused + ended.unanswered
+	ended := f.outcomes()
+	all := ended.all()
 	t.Logf("%d calls, %d late, %d not answered at all, %d refused; at most %d lines of hosts long gone, %d at the end",
 		all, ended.late, ended.unanswered, ended.refused, mostStale, len(f.stale()))
 	if ended.unanswered*200 > all {
@@ -359,11 +389,17 @@
 	if stale := f.stale(); len(stale) > 0 {
 		t.Errorf("tables name hosts that went more than %v ago: %v", staleAfter, stale)
 	}
-	if t.Failed() {
-		for _, line := range strings.Split(f.log.String(), "\n") {
-			if strings.Contains(line, "msg=decisions") {
-				t.Log(line)
-			}
+	f.explain("msg=decisions")
+}
+
+// explain logs the director's lines of a kind once a test has failed.
+func (f *fleet) explain(kind string) {
+	if !f.t.Failed() {
+		return
+	}
+	for _, line := range strings.Split(f.log.String(), "\n") {
+		if strings.Contains(line, kind) {
+			f.t.Log(line)
 		}
 	}
 }
