Levels drain what waits at hosts; messages wait until they carry what they are for

Admission steered to what came, 3 to 6 s late, and never to what waited: in-hand calls stayed at 370 in the reproduction. weigh each 500 ms over a memory of 1 s, room for what waits (Little's law), lower levels press, repeats for want of an answer are no demand, levels ease by a quarter of the way. 2. A dozen hosts and more were taken out for a handful of tries each in a fault that all shared; a binomial bound and a cap of a fifth. 4. Messages were sent as soon as something pressed, filled the channel with heads (2.2 a second, 90% heads), and the bare tables that pressed never fitted: they go first now, and a message waits until it can carry them. An unfit host stays in a table that offers nothing else. 5. A host that hangs has lines once its calls time out; silence is of answers now.

--- a/internal/platform/rollout_test.go
+++ b/internal/platform/rollout_test.go
@@ -77,6 +77,8 @@
 	ended outcomes
 	// repeats is how often a caller makes a call again that was turned away.
 	repeats int
+	// noServer are calls turned away because their table offered no host; the others were by levels or by full hosts.
+	noServer int
 }
 
 type tried struct {
@@ -167,11 +169,11 @@
 }
 
 // open are the lines of a slice's table that a proxy may use for a call; none: it turns the call away.
-func (f *fleet) open(slice int) (hosts []string, weights []float64) {
+func (f *fleet) open(slice int) (hosts []string, weights []float64, throttled bool) {
 	f.relay.mu.Lock()
 	defer f.relay.mu.Unlock()
 	if rand.Float64() >= f.relay.level {
-		return nil, nil // the call is turned away, as was ordered
+		return nil, nil, true
 	}
 	for line, weight := range f.relay.lines {
 		table, host, _ := strings.Cut(line, "/")
@@ -179,7 +181,7 @@
 			hosts, weights = append(hosts, host), append(weights, weight)
 		}
 	}
-	return hosts, weights
+	return hosts, weights, false
 }
 
 // call makes one call for a slice, and makes it again for as often as callers do when it is turned away.
@@ -199,10 +201,13 @@
 
 // try sends a call as a plain proxy does: by the weights of its table, and once. False: it was turned away.
 func (f *fleet) try(slice int) (taken bool) {
-	hosts, weights := f.open(slice)
+	hosts, weights, throttled := f.open(slice)
 	f.mu.Lock()
 	f.calls[slice]++
 	if len(hosts) == 0 {
+		if !throttled {
+			f.noServer++
+		}
 		f.mu.Unlock()
 		return false
 	}
@@ -375,8 +380,8 @@
 	time.Sleep(callDue + staleAfter)
 	ended := f.outcomes()
 	all := ended.all()
-	t.Logf("%d calls, %d late, %d not answered at all, %d refused; at most %d lines of hosts long gone, %d at the end",
-		all, ended.late, ended.unanswered, ended.refused, mostStale, len(f.stale()))
+	t.Logf("%d calls, %d late, %d not answered at all, %d refused (%d had no server); at most %d lines of hosts long gone, %d at the end",
+		all, ended.late, ended.unanswered, ended.refused, f.noServer, mostStale, len(f.stale()))
 	if ended.unanswered*200 > all {
 		t.Errorf("%d of %d calls had no answer", ended.unanswered, all)
 	}
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -7,66 +7,146 @@
 
 // Admission: which part of the calls is let in, and how often a proxy may try again.
 
-// weigh compares the calls that come with what hosts can do and lets in the part that fits. Tries would not
-// do: they end late, and those of a jam would throttle what comes after it.
-func (g *gate) weigh() {
-	able, tried, lost, busy, of, fresh, usable := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
+const (
+	weighEvery = Millis(500) // the shortest time in which a burst must be met, and the usual period of reports
+	// drainWithin is how soon the calls that wait at hosts are to be worked off: what is let in leaves room for them.
+	// Reckoned from what comes alone, a queue that a burst had filled stayed full for as long as the hosts were busy.
+	drainWithin = Millis(2000)
+	// waitsFrom is the answer time, for each of the usual one, from which calls are taken to wait at a host.
+	waitsFrom = 1.5
+	// repeated is the part of the calls without an answer that clients make again: between none and all of them.
+	repeated = 0.5
+	// easeShare is the part of the way to what fits that levels ease at each weighing. What fits is known to a tenth or
+	// two: eased by small steps alone, levels followed the lowest of what was reckoned, and not its middle.
+	easeShare = 0.25
+	// calmMemory is the half-life of the answer time while hosts have room.
+	calmMemory = 0.1
+)
+
+// capability is what hosts in use can do, and do.
+type capability struct {
+	able, tried, lost float64 // calls a second
+	busy, busyOf      float64 // busy shares by what their hosts can do, and what these can do
+	usable            float64 // hosts in use
+	restarting        float64 // those of them that started a moment ago
+	unseen            float64 // those of these that have yet to show what they can do
+	ill               float64 // hosts that are listed and out of use
+	waiting           float64 // calls that wait at hosts, beside those in work
+}
+
+// roomy says whether hosts with room to spare belie the reckoning. Reports of the others are too old to tell while
+// many have just started and nothing was heard of them since.
+func (c capability) roomy() bool {
+	return c.busyOf > 0 && c.busy < c.busyOf*idle && c.unseen <= c.usable*crowd
+}
+
+// measure sums up the hosts.
+func (g *gate) measure() (c capability) {
 	each := g.usualAble()
 	for _, s := range g.seats.all() {
-		if s.usable {
-			usable, fresh = usable+1, fresh+float64(bit(s.fresh, 0))
-			if s.able == 0 { // it has yet to show what it can do, and many such come at once in a release
-				able += each * s.prior * s.grown / 2
-			}
-			able, tried, lost = able+s.able, tried+s.flow, lost+s.loss*s.flow
-			if s.busy > 0 {
-				busy, of = busy+s.busy*s.able, of+s.able
-			}
+		c.ill += float64(bit(s.ill, 0))
+		if !s.usable {
+			continue
 		}
+		c.usable, c.restarting = c.usable+1, c.restarting+float64(bit(s.fresh && s.cold, 0))
+		c.unseen += float64(bit(s.fresh && s.cold && s.able == 0, 0))
+		if s.able == 0 { // it has yet to show what it can do, and many such come at once in a release
+			c.able += each * s.prior * s.grown / 2
+		}
+		c.able, c.tried, c.lost = c.able+s.able, c.tried+s.flow, c.lost+s.loss*s.flow
+		if s.busy > 0 {
+			c.busy, c.busyOf = c.busy+s.busy*s.able, c.busyOf+s.able
+		}
+		c.waiting += max(0, s.spent-waitsFrom*g.calmSpent) / 1000 * s.flow * (1 - s.loss)
 	}
-	able = max(able, tried-lost) // without busy shares, what is answered is all that is known
-	around := fleet{pressure: tried / max(able, 0.1), loss: lost / max(tried, 0.1), busy: busy / max(of, 0.1),
-		typicalLoss: g.typicalLoss()}
-	top, usual := float64(len(g.rules.cheap)), 0.0
+	c.able = max(c.able, c.tried-c.lost) // without busy shares, what is answered is all that is known
+	if usual := g.usualSpent(); c.roomy() && usual > 0 {
+		if g.calmSpent == 0 {
+			g.calmSpent = usual
+		}
+		g.calmSpent += (usual - g.calmSpent) * calmMemory
+	}
+	if g.calmSpent == 0 {
+		c.waiting = 0 // nothing is known of how long an answer takes
+	}
+	return c
+}
+
+// arrivals is the rate of a route's calls, without those that are made again for want of an answer.
+func (g *gate) arrivals(r RouteID) float64 {
+	return max(0, g.asked[r].rate(g.now, gateMemory, 0)-repeated*g.unanswered[r].rate(g.now, gateMemory, 0))
+}
+
+// estimateDemand tells the calls a second that come, and what comes usually, when none is turned away. A throttled
+// route's calls come again and tell nothing of how many there are; the most important's do.
+func (g *gate) estimateDemand() (all, usual float64) {
 	for r := range g.usual {
-		if g.level == top {
-			g.usual[r] = g.asked[r].rate(g.now, gateMemory, 0)
+		if g.level == float64(len(g.usual)) {
+			g.usual[r] = g.arrivals(RouteID(r))
 		}
 		usual += g.usual[r]
 	}
-	// A throttled route's calls come again and tell nothing of how many there are; the most important's do.
-	all, lead := usual, g.rules.cheap[len(g.usual)-1]
-	if g.usual[lead] > 0 {
-		all *= g.asked[lead].rate(g.now, gateMemory, 0) / g.usual[lead]
+	for _, lead := range slices.Backward(g.rules.cheap) {
+		if g.usual[lead] > 0 {
+			return usual * g.arrivals(lead) / g.usual[lead], usual
+		}
 	}
+	return usual, usual
+}
+
+// weigh compares the calls that come, and those that wait, with what hosts can do and lets in the part that fits.
+// Tries would not do: they end late, and those of a jam would throttle what comes after it.
+func (g *gate) weigh() {
+	c := g.measure()
+	top := float64(len(g.rules.cheap))
+	all, usual := g.estimateDemand()
+	around := fleet{pressure: c.tried / max(c.able, 0.1), loss: c.lost / max(c.tried, 0.1),
+		busy: c.busy / max(c.busyOf, 0.1), typicalLoss: g.typicalLoss(), out: c.ill / max(c.ill+c.usable, 1)}
 	if g.level < top { // else all that come are in the pressure
-		around.wanted = all / max(able, 0.1)
+		around.wanted = all / max(c.able, 0.1)
 	}
-	g.around, g.demand, g.capacity = around, all, able
+	g.around, g.demand, g.capacity, g.waiting = around, all, c.able, c.waiting
 	g.post(g.place, around)
 	for _, s := range g.seats.all() {
 		g.post(s.from, around)
 	}
-	if g.rules.levels != NoLevels && able > 0 && usual > 0 {
-		want, excess := top, usual*(1-strain*able/max(all, 0.1))
-		if of > 0 && busy < of*idle && fresh <= usable*crowd {
-			excess = 0 // hosts with room to spare belie the reckoning
-		}
-		for _, r := range g.rules.cheap {
-			cut := min(1, max(0, excess)/max(g.usual[r], 0.001))
-			want, excess = want-cut, excess-cut*g.usual[r]
-		}
-		g.level = max(levelLow, min(want, g.level+levelEase))
+	if g.rules.levels != NoLevels && c.able > 0 && usual > 0 {
+		g.steer(c, all, usual)
 	}
-	if g.told.level == nil && (able == 0 || usual == 0) {
+	if g.told.level == nil && (c.able == 0 || usual == 0) {
 		return // proxies may hold an earlier start's levels, which know more than we do yet
 	}
+	now := g.levels(g.level < top || around.pressure > strain || c.restarting > c.usable*crowd)
+	if !slices.Equal(now.level, g.told.level) || !slices.Equal(now.tries, g.told.tries) {
+		g.told = now
+		g.post(g.to, now)
+	}
+}
+
+// steer sets the number of routes that are let in whole: at once to less, step by step to more.
+func (g *gate) steer(c capability, all, usual float64) {
+	fits := max(0, strain*c.able-c.waiting*1000/float64(drainWithin))
+	want, excess := float64(len(g.rules.cheap)), usual*(1-fits/max(all, 0.1))
+	if c.roomy() {
+		excess = 0
+	}
+	for _, r := range g.rules.cheap {
+		cut := min(1, max(0, excess)/max(g.usual[r], 0.001))
+		want, excess = want-cut, excess-cut*g.usual[r]
+	}
+	ease := max(levelEase*float64(weighEvery)/1000, easeShare*(want-g.level))
+	g.level = max(levelLow, min(want, g.level+ease))
+}
+
+// levels are the orders that follow from the level. A further try adds work just where there is too much.
+func (g *gate) levels(strained bool) levelled {
+	top := float64(len(g.rules.cheap))
 	now := levelled{make([]float64, len(g.usual)), make([]int, len(g.usual))}
 	for i, r := range g.rules.cheap {
 		part := max(levelLow, min(1, g.level-(top-1-float64(i))))
 		now.level[r], now.tries[r] = math.Round(part*20)/20, g.rules.ways[r]
-		if g.level < top || around.pressure > strain || fresh > usable*crowd {
-			now.tries[r] = min(1, now.tries[r]) // a further try adds work just where there is too much
+		if strained {
+			now.tries[r] = min(1, now.tries[r])
 		}
 		if g.rules.levels == LevelRate {
 			if now.level[r] = 1e6; part < 1 && g.joined.len() > 0 {
@@ -74,10 +154,7 @@
 			}
 		}
 	}
-	if !slices.Equal(now.level, g.told.level) || !slices.Equal(now.tries, g.told.tries) {
-		g.told = now
-		g.post(g.to, now)
-	}
+	return now
 }
 
 // usualAble is the median of what hosts can do for each unit of listed weight, of those that have shown it.
@@ -101,3 +178,14 @@
 	}
 	return middle(all)
 }
+
+// usualSpent is the median time of the answers of hosts in use.
+func (g *gate) usualSpent() float64 {
+	var all []float64
+	for _, s := range g.seats.all() {
+		if s.usable && s.spent > 0 {
+			all = append(all, s.spent)
+		}
+	}
+	return middle(all)
+}
--- a/logic/channel.go
+++ b/logic/channel.go
@@ -61,6 +61,7 @@
 				before.left.drop(n.Proxy)
 			}
 			f.doubt = 0
+			p.ownedAt = p.now
 		}
 	}
 }
@@ -71,6 +72,38 @@
 	}
 }
 
+// silentFor is how long after its sending began a channel that carries anything may show no acknowledgement at all.
+// A message goes to one proxy after the other: however slow the channel is, the first of them answer.
+func (p *publisher) silentFor() Millis { return slowest*p.rules.transit + p.rules.worstTransit }
+
+// silent says whether messages are on their way and none of the proxies has acknowledged anything for so long that
+// the messages, or the answers to them, must be lost: a channel that is merely slow goes on answering.
+func (p *publisher) silent() bool {
+	if len(p.flights) == 0 {
+		return false
+	}
+	for _, f := range p.flights {
+		if f.doubt > 0 || f.second || p.now < f.clear+p.silentFor() {
+			return false
+		}
+	}
+	return p.now >= p.ownedAt+p.silentFor()
+}
+
+// forgetSilent lets go of messages that are lost, or whose answers are. Their masks and levels may not have reached
+// anybody, so they are told anew.
+func (p *publisher) forgetSilent() {
+	if !p.silent() {
+		return
+	}
+	p.flights = nil
+	p.lost++
+	for id := range p.doors.all() {
+		p.masked.drop(id)
+	}
+	p.stood = levelled{}
+}
+
 // waiting is what may still be in our channel: what has not left it at its usual pace, or, once most proxies
 // are late to own up to a message, all that they have not owned up to, which holds at any pace; and that sum.
 // What nobody owns up to any more, since it was lost or we did not hear it, is not waited for without end.
--- a/logic/health.go
+++ b/logic/health.go
@@ -1,16 +1,25 @@
 package logic
 
+import "math"
+
 // Health of hosts: which are taken out of use for failing or for silence, which rest for a moment, and how one comes
 // back. A host is always set against the others, and what is expected of it is what tables that stand bring it.
 
 const (
-	failFor        = Millis(3000) // most tries lost for so long: removed
-	fewTries       = 1.5          // lately: below it nothing is judged
-	missedCalls    = 6            // expected of a host without a word of it, before it counts as silent
-	silenceSlack   = Millis(1000) // beside twice the usual time between reports of it
-	calmLoss       = 0.3          // of the fleet's tries: below it a host that jams is an exception, and may rest
-	answersInFull  = 0.5          // answers lately that show a host at full work to be overloaded, not sick
-	reportsOfDelay = 2            // periods of reports until what came to a host is heard of
+	failFor      = Millis(3000) // most tries lost for so long: removed
+	fewTries     = 1.5          // lately: below it nothing is judged
+	missedCalls  = 6            // expected of a host without a word of it, before it counts as silent
+	silenceSlack = Millis(1000) // beside twice the usual time between reports of it
+	calmLoss     = 0.3          // of the fleet's tries: below it a host that jams is an exception, and may rest
+	// surely is how many standard deviations a host's losses must be above what all lose. Where half of all tries fail,
+	// a host with a handful of them loses most by chance alone, and dozens were taken out for it together.
+	surely = 2.5
+	// mostOut is the part of the hosts that may be out for failing. Beyond it one that still answers stays: the rest
+	// would have to bear its calls, too.
+	mostOut        = 0.2
+	losesAll       = 0.97 // of its tries: it answers nothing to speak of
+	answersInFull  = 0.5  // answers lately that show a host at full work to be overloaded, not sick
+	reportsOfDelay = 2    // periods of reports until what came to a host is heard of
 
 	// A removed host is tried again with few calls. What it makes of them adds up for as long as the trial lasts:
 	// the calls of a few standby lines may be less than one a second, and a sum that decays as fast as that of a
@@ -32,14 +41,14 @@
 		h.probeAt = h.now + h.probeEvery
 	}
 	ended, lost := h.ended.read(h.now, h.rules.health), h.lost.read(h.now, h.rules.health)
-	bad := ended > fewTries && lost > ended*(1+max(h.around.loss, h.around.typicalLoss))/2
+	bad := ended > fewTries && h.standsOut(ended, lost)
 	jam := bad || ended > fewTries && h.spent.read(h.now, h.rules.health) > (ended-lost)*float64(h.rules.slo)
 	bad = bad && !(h.busy > full && ended-lost > answersInFull)
 	if jam && h.around.loss < calmLoss && h.around.busy < strain && h.now > h.restUntil+restFor {
 		h.restUntil = h.now + restFor
 		h.changed(ReasonJammed)
 	}
-	quiet := reported - max(h.lastLine, h.dueSince)
+	quiet := reported - max(h.lastAnswer, h.dueSince)
 	h.missing(reported)
 	silent := h.silent(quiet)
 	since(&h.badSince, bad || silent, h.now)
@@ -55,7 +64,8 @@
 			h.changed(ReasonTrialDue)
 		}
 	case serving:
-		if silent && quiet > failFor || bad && h.now-h.badSince >= failFor {
+		spared := h.around.out >= mostOut && lost < ended*losesAll
+		if silent && quiet > failFor || bad && !spared && h.now-h.badSince >= failFor {
 			h.remove(why)
 		}
 	case onTrial:
@@ -69,6 +79,13 @@
 	}
 }
 
+// standsOut says whether a host loses more of its tries than can be laid to what all lose.
+func (h *host) standsOut(ended, lost float64) bool {
+	usual := min(1, max(h.around.loss, h.around.typicalLoss))
+	chance := surely * math.Sqrt(ended*usual*(1-usual))
+	return lost > ended*(1+usual)/2 && lost > ended*usual+chance
+}
+
 // remove takes the host out of use. The change is noted before what is known of its tries is cleared.
 func (h *host) remove(why Reason) {
 	h.state = removed
@@ -82,7 +99,7 @@
 	}
 	h.state, h.trial = s, trial{}
 	h.spent, h.ended, h.lost = sum{}, sum{}, sum{}
-	h.badSince, h.lastLine, h.gap = 0, 0, 0
+	h.badSince, h.lastLine, h.lastAnswer, h.gap = 0, 0, 0, 0
 	h.due, h.missed, h.rising = 0, 0, 0
 }
 
@@ -98,7 +115,8 @@
 	since(&h.dueSince, h.due > 0, h.now)
 }
 
-// missing adds up the calls that should have come to a host since the last report of it, while reports of others came.
+// missing adds up the answers that should have come from a host since the last one, while reports of others came: of
+// those calls that are answered, as all hosts go. A host that hangs has lines, too, once its calls have timed out.
 func (h *host) missing(reported Millis) {
 	if h.rising > 0 && h.now >= h.risesAt {
 		h.due, h.rising = h.due+h.rising, 0
@@ -107,14 +125,15 @@
 	if h.now < h.restUntil+h.rules.heardAfter && h.restUntil > 0 {
 		h.missed = 0 // we keep calls from it, or did until a moment ago
 	} else if reported > h.countedTo {
-		h.missed += h.due * float64(reported-h.countedTo) / 1000
+		answered := 1 - min(1, max(h.around.loss, h.around.typicalLoss))
+		h.missed += h.due * answered * float64(reported-h.countedTo) / 1000
 	}
 	h.countedTo = max(h.countedTo, reported)
 }
 
 // silent says whether calls go to a host and nothing is heard of it, though of others it is.
 func (h *host) silent(quiet Millis) bool {
-	return h.lastLine > 0 && h.missed > missedCalls && quiet > 2*h.gap+silenceSlack
+	return h.lastAnswer > 0 && h.missed > missedCalls && quiet > 2*h.gap+silenceSlack
 }
 
 // trial counts what a host made of the calls since it entered its state.
--- a/logic/host.go
+++ b/logic/host.go
@@ -43,7 +43,10 @@
 	if h.lastLine > 0 && h.now > h.lastLine {
 		h.gap += (h.now - h.lastLine - h.gap) * 0.2
 	}
-	h.lastLine, h.missed, h.countedTo = h.now, 0, h.now
+	h.lastLine = h.now
+	if m.Ended > m.Lost {
+		h.lastAnswer, h.missed, h.countedTo = h.now, 0, h.now
+	}
 	rate := 1000 * float64(m.Ended-m.Lost) / max(1, float64(m.Over))
 	// Read as reports come in, so that the rate doesn't ripple with them.
 	part := (1 - math.Exp2(-float64(h.rules.reportEvery/h.rules.health))) * 1000 / float64(h.rules.reportEvery)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 
 	demandMemory = Millis(4000)
 	healthMemory = Millis(1500)
-	gateMemory   = Millis(2000)
+	gateMemory   = Millis(1000) // a burst is let in for no longer than routes want their answers, as a rule
 	loadMemory   = Millis(4000)
 
 	trialAfter  = Millis(2000) // before a removed host is tried again
@@ -40,8 +40,8 @@
 	commonSize  = 8 // hosts in the first table of a site without slices
 
 	ordinaryPart = 0.5  // of the messages that a proxy may get; the rest is for removals
-	barePart     = 0.65 // for tables that would be left bare
-	urgentPart   = 0.85 // for hosts that go out
+	barePart     = 0.65 // for the tables of sites without slices and the writes of single owners
+	urgentPart   = 0.85 // for hosts that go out and for tables that have nothing to offer
 	surePart     = 0.95 // for all that proxies have not owned up to: it holds at any pace
 	slowest      = 10   // times as long as usual, the way through a full channel at most takes
 
@@ -62,7 +62,7 @@
 	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, probes: f.MayProbe,
 		shared: f.Directors > 1 && f.Slices > 0 && !f.OneOwner,
 		advice: f.GoneIsAdvice, listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines,
-		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, messages: f.MessageLimit, span: f.MessageSpan,
+		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, worstTransit: f.WorstTransit, messages: f.MessageLimit, span: f.MessageSpan,
 		levels: f.Levels, reportEvery: max(1, f.ReportEvery), warmFor: f.WarmAfter,
 		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	b.health = max(healthMemory, b.reportEvery*5/4) // shorter, it would see but the last report
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -116,7 +116,7 @@
 		g.joined.drop(n.Proxy)
 	case Due:
 		if g.now >= g.next {
-			g.next = g.now + checkEvery
+			g.next = g.now + weighEvery
 			g.weigh()
 		}
 	}
@@ -219,6 +219,7 @@
 	case Unsure:
 		p.doubt(n)
 	case settleNow:
+		p.forgetSilent()
 		if doubted := p.again(); p.due() && !doubted {
 			p.flush()
 		}
--- a/logic/masks.go
+++ b/logic/masks.go
@@ -79,6 +79,10 @@
 	return false
 }
 
+// dispensable says whether every table has another host to offer. A host judged unfit is not shut out of one that has
+// none: whatever it still answers is more than nothing, and a table with nothing to offer breaks a rule.
+func (p *publisher) dispensable(id HostID) bool { return !p.needed(id) }
+
 // bare says whether a table has nothing to offer once all hosts are out that should be, and one more.
 func (p *publisher) bare(t TableID, but HostID) bool {
 	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool {
--- a/logic/observe.go
+++ b/logic/observe.go
@@ -61,6 +61,7 @@
 	Busy, Loss               float64
 	AnswerTime               Millis    // mean of the answers at hosts
 	InHand                   float64   // calls that hosts hold at a time
+	Waiting                  float64   // those of them that wait, as reckoned
 	Levels                   []float64 // by route, as wanted
 	Written                  []float64 // by route, as last written; nil: unknown
 	WrittenFor               Millis    // since they were
@@ -132,7 +133,7 @@
 // Load tells what admission reckons with.
 func (d *Director) Load() LoadReport {
 	g, p := d.gate, d.publish
-	r := LoadReport{Demand: g.demand, Capacity: g.capacity, Busy: g.around.busy, Loss: g.around.loss,
+	r := LoadReport{Demand: g.demand, Capacity: g.capacity, Busy: g.around.busy, Loss: g.around.loss, Waiting: g.waiting,
 		Levels: p.levels.level, Written: p.stood.level, WrittenFor: d.now - p.stoodAt}
 	for route := range g.asked {
 		calls := g.asked[route].rate(d.now, gateMemory, 0)
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -14,7 +14,8 @@
 	outWithin                        Millis  // from an order to the last proxy, for hosts that are to go out
 	messages                         int     // most messages to a proxy within span; 0: any
 	span, hurry, settle, reportEvery Millis
-	transit, slo, warmFor, health    Millis
+	transit, worstTransit            Millis
+	slo, warmFor, health             Millis
 	levels                           Valve
 	ways                             []int     // further tries that can't take effect twice, by route
 	cheap                            []RouteID // routes by importance, least first
@@ -46,8 +47,8 @@
 		grown                float64 // part of its room that a fresh host has by now
 	}
 	// Tries over capacity; share of them lost; busy share; all calls over capacity, where some are throttled.
-	// TypicalLoss is the median of the share lost.
-	fleet    struct{ pressure, loss, busy, wanted, typicalLoss float64 }
+	// TypicalLoss is the median of the share lost, out the part of the listed hosts that is judged unfit.
+	fleet    struct{ pressure, loss, busy, wanted, typicalLoss, out float64 }
 	expected struct{ rate float64 } // calls a second that the placer has laid on a host
 	wanted   struct {
 		table  TableID
@@ -115,11 +116,12 @@
 	rate, press             sum
 	busy                    float64 // share last reported
 	lastLine, gap           Millis  // when last heard of, and how long that takes as a rule
+	lastAnswer              Millis  // when an answer of it was last heard of
 	due                     float64 // calls a second laid on it
 	dueSince, badSince      Millis
 	rising                  float64 // more of it, by tables that were just written
 	risesAt                 Millis  // when that counts
-	missed                  float64 // calls that should have come since the last report of it
+	missed                  float64 // answers that should have come since the last one
 	countedTo               Millis  // up to when those are counted
 	voidSince               Millis
 	outUntil                Millis
@@ -220,6 +222,8 @@
 	// As last reckoned, for the report.
 	around           fleet
 	demand, capacity float64 // calls a second, of all and of what hosts can answer
+	waiting          float64 // calls that wait at hosts
+	calmSpent        float64 // time of an answer while hosts have room, in milliseconds
 }
 
 // stream is a joined proxy; table is what it is bound to at sites without slices.
@@ -254,6 +258,8 @@
 	streams           shelf[ProxyID, *stream]
 	sent              []Millis
 	flights           []*flight
+	ownedAt           Millis // when a proxy last acknowledged a message
+	lost              int    // times that a channel fell silent
 	serial            SerialID
 	clear             Millis // when the channel is empty at its usual pace
 	levels, stood     levelled
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -13,6 +13,16 @@
 		!(slices.Equal(p.levels.level, p.stood.level) && slices.Equal(p.levels.tries, p.stood.tries))
 }
 
+// tightens says whether clearly less is to be let in than is: what comes meanwhile waits at the hosts.
+func (p *publisher) tightens() bool {
+	for r, level := range p.levels.level {
+		if p.stood.level != nil && level <= p.stood.level[r]*(1-clearlyLess) {
+			return true
+		}
+	}
+	return false
+}
+
 // wantedBy are the wanted tables that are bare now, or the others, in an order.
 func (p *publisher) wantedBy(bare bool, most func(wanted) float64) (order []wanted) {
 	for t, w := range p.wants.all() {
@@ -63,9 +73,8 @@
 	for t, w := range p.wants.all() {
 		urgent, pressed = urgent || w.urgent, pressed || p.bare(t, 0)
 	}
-	masks := len(p.ajar(bound)) > 0
-	pressed = pressed || len(p.ajar(closed)) > 0 ||
-		p.relevels() && p.stood.level == nil && slices.Min(p.levels.level) < 1
+	masks, shuts := len(p.ajar(bound)) > 0, slices.ContainsFunc(p.ajar(closed), p.dispensable)
+	pressed = pressed || shuts || p.tightens() || p.relevels() && p.stood.level == nil && slices.Min(p.levels.level) < 1
 	since(&p.hurrySince, pressed || masks || urgent, p.now)
 	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() ||
 		len(p.ajar(opened)) > 0 || len(p.ajar(rested)) > 0, p.now)
@@ -84,10 +93,12 @@
 	if !masks && !pressed {
 		hurry, most = max(hurry, heads), most*urgentPart // the last messages are for what the rules ask
 	}
-	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-hurry) >= hurry {
+	if p.hurrySince > 0 && written < most && p.now-max(last, p.hurrySince-hurry) >= hurry &&
+		(masks || !p.rules.sliced || p.loadable(urgentPart, p.neededLines(true))) {
 		return true
 	}
-	return p.since > 0 && p.now-p.since >= gather && p.now-last >= gap && written < most*ordinaryPart
+	return p.since > 0 && p.now-p.since >= gather && p.now-last >= gap && written < most*ordinaryPart &&
+		(!p.rules.sliced || p.loadable(p.ordinaryShare(), p.neededLines(false)))
 }
 
 // flush writes as much of what is wanted as the channel has room for, removals first. What a reply orders is
@@ -151,14 +162,14 @@
 	// A mask that holds a host from more than it should get is not lifted for one table that new lines can help.
 	none := func(HostID) bool { return false }
 	mask(bound, none)
+	write(true, urgentPart)
 	mask(opened, p.over)
-	write(true, barePart)
 	// Levels go before tables that can wait: calls were refused for seconds by levels that were no longer wanted.
 	if p.relevels() && cost.book(urgentPart, levels, all) {
 		p.writeLevels()
 	}
 	mask(opened, none)
-	mask(closed, none)
+	mask(closed, func(id HostID) bool { return !p.dispensable(id) })
 	mask(rested, none)
 	write(false, p.ordinaryShare())
 	p.owners(func(t TableID) bool { return cost.book(barePart, 1, using(t)) })
--- a/logic/write_order.go
+++ b/logic/write_order.go
@@ -11,6 +11,7 @@
 	longWait        = Millis(2000)
 	reservedMasks   = 3    // hosts that can always go out at once
 	plainWorth      = 0.02 // of a slice's calls: for a change that relieves no host
+	clearlyLess     = 0.1  // of a level: from there a change presses
 	vulnerableWorth = 0.5  // the same for a table that has a single host left to offer
 )
 
@@ -32,12 +33,33 @@
 // may carry little is hardly anything else.
 func (p *publisher) ordinaryShare() float64 {
 	queue, proxies := max(1, p.rules.queue), float64(p.streams.len())
-	heads := proxies * (p.rules.head + 1)
+	heads := p.messageLines()
 	inTime := float64(p.rules.outWithin)*p.rules.pace - heads
 	withRoom := queue*surePart - heads - proxies*reservedMasks
 	return max(leastOrdinary, min(inTime, withRoom)/queue)
 }
 
+// messageLines are what the heads of a message to all proxies cost.
+func (p *publisher) messageLines() float64 { return float64(p.streams.len()) * (p.rules.head + 1) }
+
+// loadable says whether the channel has room for a message that is worth its heads: it can carry what is needed, or
+// half of what the heads of an empty channel leave room for. Sent sooner, messages that carry next to nothing fill the
+// channel with heads, and what they were written for never fits.
+func (p *publisher) loadable(part, needed float64) bool {
+	filled, unowned := p.waiting()
+	heads := p.messageLines()
+	least := min(needed, max(0, p.rules.queue*part-heads)/2)
+	return filled+heads+least <= p.rules.queue*part && unowned+heads+least <= p.rules.queue*surePart
+}
+
+// neededLines are what the wanted tables of a kind cost, to all proxies.
+func (p *publisher) neededLines(bare bool) (sum float64) {
+	for _, w := range p.wantedBy(bare, func(wanted) float64 { return 0 }) {
+		sum += float64(len(p.changes(w.table, w.lines)) * p.streams.len())
+	}
+	return sum
+}
+
 // headsTime is the time between ordinary messages that keeps heads a small part of what the channel carries.
 func (p *publisher) headsTime() Millis {
 	times := calmMessage
