What a proxy acknowledged before it left is not told anew; hosts in no table bear nothing

A proxy that loses its stream keeps what it holds: only masks written since its first message without an acknowledgement are told anew (publisher.missedFrom, leave). A host that some table waits for presses (publisher.awaited).

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -49,8 +49,9 @@
 			continue
 		}
 		c.usable, c.restarting = c.usable+1, c.restarting+float64(bit(s.fresh && s.cold, 0))
-		c.unseen += float64(bit(s.fresh && s.cold && s.able == 0, 0))
-		if s.able == 0 { // it has yet to show what it can do, and many such come at once in a release
+		// What no table names bears nothing: it neither adds to what can be done, nor to what is not seen.
+		if s.able == 0 && s.due > 0 { // it has yet to show what it can do, and many such come at once in a release
+			c.unseen += float64(bit(s.fresh && s.cold, 0))
 			c.able += each * s.prior * s.grown / 2
 		}
 		c.able, c.tried, c.lost = c.able+s.able, c.tried+s.flow, c.lost+s.loss*s.flow
--- a/logic/forget.go
+++ b/logic/forget.go
@@ -27,6 +27,7 @@
 		d.publish.turned.drop(id)
 		if !d.publish.masked.get(id) {
 			d.publish.masked.drop(id)
+			d.publish.maskedAt.drop(id)
 		}
 	}
 }
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -209,11 +209,7 @@
 	case Joined:
 		p.join(n)
 	case Left:
-		p.streams.drop(n.Proxy)
-		for _, f := range p.flights {
-			f.left.drop(n.Proxy)
-		}
-		p.unsettle()
+		p.leave(n)
 	case Applied:
 		p.own(n)
 	case Unsure:
--- a/logic/masks.go
+++ b/logic/masks.go
@@ -83,6 +83,17 @@
 // none: whatever it still answers is more than nothing, and a table with nothing to offer breaks a rule.
 func (p *publisher) dispensable(id HostID) bool { return !p.needed(id) }
 
+// awaited says whether a table has no host to offer of which all proxies are sure to know that it is in, but for one
+// whose mask is yet to be lifted, or told anew.
+func (p *publisher) awaited(id HostID) bool {
+	for t, table := range p.stands.all() {
+		if table.holds(id) && !p.sure(t, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // bare says whether a table has nothing to offer once all hosts are out that should be, and one more.
 func (p *publisher) bare(t TableID, but HostID) bool {
 	return !slices.ContainsFunc(p.stands.get(t), func(l line) bool {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -41,6 +41,7 @@
 		spent                float64 // mean time of an answer, in milliseconds
 		loss                 float64 // share of tries lost
 		flow, able           float64 // tries a second; what it could answer of them
+		due                  float64 // calls a second that standing tables bring it
 		zone                 ZoneID
 		cell                 CellID
 		from                 *host
@@ -267,5 +268,7 @@
 	doors             shelf[HostID, opening] // hosts that were ever out, as wanted
 	turned            shelf[HostID, Millis]  // when that changed last
 	masked            shelf[HostID, bool]    // the same as last written, where that is known
+	maskedAt          shelf[HostID, Millis]  // when that was written
+	away              shelf[ProxyID, Millis] // proxies that left, and from when on they may have missed what was written
 	shut              shelf[TableID, Millis] // single owners: no writes until the former owner's are settled
 }
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -42,12 +42,14 @@
 }
 
 func (p *publisher) join(n Joined) {
+	from := p.missedFrom(n)
 	for id, open := range p.doors.all() {
-		// It has missed what was written while it was away, in either direction.
-		if open != opened || !n.Fresh || p.masked.get(id) {
+		// It has missed what was written while it was away, in either direction. One that holds nothing has no mask.
+		if n.Fresh && (open != opened || p.masked.get(id)) || !n.Fresh && p.maskedAt.get(id) >= from {
 			p.masked.drop(id)
 		}
 	}
+	p.stood = levelled{} // it may hold the levels of an earlier time
 	s := &stream{zone: n.Zone}
 	if known := p.streams.get(n.Proxy); known != nil {
 		// It may have left and come back while we heard nothing, or have been there all along: what waits in the
@@ -57,7 +59,38 @@
 		p.unsettle()
 	}
 	p.streams.put(n.Proxy, s)
-	p.stood = levelled{} // it may hold the levels of an earlier time
+}
+
+// missedFrom is from when on a proxy that joins may have missed what was written; always, where it was not seen to
+// leave. A proxy that loses its stream keeps what it holds: where dozens come back each second, telling all of them
+// all masks anew filled the channel.
+func (p *publisher) missedFrom(n Joined) Millis {
+	from := Millis(math.Inf(-1))
+	if p.away.has(n.Proxy) && !p.streams.has(n.Proxy) {
+		from = p.away.get(n.Proxy)
+	}
+	p.away.drop(n.Proxy)
+	return from
+}
+
+// leave notes that a proxy has left: what it did not acknowledge may not have reached it.
+func (p *publisher) leave(n Left) {
+	from := p.now
+	for _, f := range p.flights {
+		if f.left.has(n.Proxy) {
+			from = min(from, f.written)
+		}
+		f.left.drop(n.Proxy)
+	}
+	p.away.put(n.Proxy, from)
+	p.streams.drop(n.Proxy)
+	p.unsettle()
+}
+
+// setMask notes a mask that is written.
+func (p *publisher) setMask(id HostID, out bool) {
+	p.masked.put(id, out)
+	p.maskedAt.put(id, p.now)
 }
 
 // due says whether to write now. Ordinary changes gather, and leave a part of a proxy's messages to removals.
@@ -74,7 +107,7 @@
 		urgent, pressed = urgent || w.urgent, pressed || p.bare(t, 0)
 	}
 	masks, shuts := len(p.ajar(bound)) > 0, slices.ContainsFunc(p.ajar(closed), p.dispensable)
-	pressed = pressed || shuts || p.tightens() || p.relevels() && p.stood.level == nil && slices.Min(p.levels.level) < 1
+	pressed = pressed || shuts || slices.ContainsFunc(p.ajar(opened), p.awaited) || p.tightens() || p.relevels() && p.stood.level == nil && slices.Min(p.levels.level) < 1
 	since(&p.hurrySince, pressed || masks || urgent, p.now)
 	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() ||
 		len(p.ajar(opened)) > 0 || len(p.ajar(rested)) > 0, p.now)
@@ -117,7 +150,7 @@
 		for _, id := range p.ajar(open) {
 			if !but(id) && cost.book(urgentPart, 1, all) {
 				p.order(Mask{id, open != opened})
-				p.masked.put(id, open != opened)
+				p.setMask(id, open != opened)
 			}
 		}
 	}
@@ -149,7 +182,7 @@
 			p.post(p.place, laid{t, lines})
 			for _, l := range lines {
 				if slices.Contains(changes, Order(Mask{l.host, false})) {
-					p.masked.put(l.host, false)
+					p.setMask(l.host, false)
 				}
 			}
 			if p.rules.oneOwner {
@@ -195,7 +228,7 @@
 	cost.serial = p.serial
 	p.order(Stamp{p.serial, false})
 	p.clear = max(p.clear, p.now) + Millis(cost.seal()/p.rules.pace)
-	cost.clear = p.clear
+	cost.clear, cost.written = p.clear, p.now
 	p.flights = append(p.flights, cost)
 	p.sent = append(p.sent, p.now)
 }
