--- a/internal/platform/decisions.go
+++ b/internal/platform/decisions.go
@@ -89,7 +89,7 @@
 		"resting", by[logic.Resting], "removed", by[logic.Removed], "on_trial", by[logic.OnTrial],
 		"unproven", by[logic.Unproven], "drained", by[logic.Drained], "masked", r.Masked,
 		"tables_waiting", r.TablesWaiting, "oldest_wait_ms", int(r.OldestWait), "queued_lines", int(r.QueuedLines),
-		"unacknowledged_lines", int(r.UnacknowledgedLines), "messages", r.Messages,
+		"unacknowledged_lines", int(r.UnacknowledgedLines), "messages", r.Messages, "silences", r.Silences,
 		"acknowledged", d.lag.acknowledged, "lag_ms", mean(d.lag.sum, d.lag.acknowledged),
 		"longest_lag_ms", int(d.lag.longest))
 	d.lag = lag{}
--- a/logic/channel.go
+++ b/logic/channel.go
@@ -97,7 +97,7 @@
 		return
 	}
 	p.flights = nil
-	p.lost++
+	p.silences++
 	for id := range p.doors.all() {
 		p.masked.drop(id)
 	}
--- a/logic/observe.go
+++ b/logic/observe.go
@@ -94,6 +94,7 @@
 	OldestWait                               Millis
 	QueuedLines, UnacknowledgedLines         float64
 	Messages                                 int // that some proxy has not acknowledged
+	Silences                                 int // times that nobody acknowledged anything for so long that messages were let go
 	Masked                                   int
 }
 
@@ -110,7 +111,7 @@
 		r.OldestWait = max(r.OldestWait, d.now-w.at)
 	}
 	r.QueuedLines, r.UnacknowledgedLines = p.waiting()
-	r.Messages = len(p.flights)
+	r.Messages, r.Silences = len(p.flights), p.silences
 	for _, out := range p.masked.all() {
 		r.Masked += int(bit(out, 0))
 	}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -260,7 +260,7 @@
 	sent              []Millis
 	flights           []*flight
 	ownedAt           Millis // when a proxy last acknowledged a message
-	lost              int    // times that a channel fell silent
+	silences          int    // times that nobody acknowledged anything
 	serial            SerialID
 	clear             Millis // when the channel is empty at its usual pace
 	levels, stood     levelled
