--- a/internal/platform/collect/collect.go
+++ b/internal/platform/collect/collect.go
@@ -55,6 +55,7 @@
 	strangers *list.List // of *peer, the oldest first
 	joined    map[logic.ZoneID][]*peer
 	open      map[budget.Client]*peer
+	ending    bool // whoever is accepted from now on is closed before anything is read
 }
 
 type peer struct {
@@ -67,6 +68,7 @@
 	gone  atomic.Bool
 	// asked says whether a sign of life was asked for on it, collects whether it joined as a collector.
 	asked, collects atomic.Bool
+	refusing        sync.Mutex
 
 	// Of the one goroutine that reads it:
 	in     []byte
@@ -100,16 +102,19 @@
 	close(s.done)
 	return s.Socket.Close(func(each func(netpoll.Connection)) {
 		s.mu.Lock()
+		s.ending = true
 		all := make([]*peer, 0, len(s.open))
 		for _, p := range s.open {
 			all = append(all, p)
 		}
 		s.mu.Unlock()
 		for _, p := range all {
-			if p.asked.Load() || !p.collects.Load() {
+			if p.asked.Load() || !p.collects.Load() || p.conn.Reader().Len() > 0 {
 				s.refuse(p, "the director ends")
 			}
+			p.refusing.Lock() // a refusal that has begun is written whole
 			each(p.conn)
+			p.refusing.Unlock()
 		}
 	})
 }
@@ -131,6 +136,7 @@
 	s.ledger.Opened()
 	var oldest *peer
 	s.mu.Lock()
+	ending := s.ending
 	s.open[p.id] = p
 	if p.place = s.strangers.PushBack(p); s.strangers.Len() > s.most {
 		oldest = s.strangers.Front().Value.(*peer)
@@ -148,7 +154,9 @@
 		s.ledger.Closed(p.id)
 		return nil
 	})
-	if oldest != nil { // a collector says at once who it is: who has waited longest is least likely to be one
+	if ending {
+		c.Close()
+	} else if oldest != nil { // a collector says at once who it is: who has waited longest is least likely to be one
 		s.refuse(oldest, "more strangers than may be")
 	}
 	return context.WithValue(context.Background(), peerKey{}, p)
@@ -174,6 +182,8 @@
 
 // refuse says so and closes.
 func (s *Server) refuse(p *peer, why string) {
+	p.refusing.Lock()
+	defer p.refusing.Unlock()
 	if p.gone.Swap(true) {
 		return
 	}
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -9,9 +9,6 @@
 
 const (
 	weighEvery = Millis(500) // the shortest time in which a burst must be met, and the usual period of reports
-	// drainWithin is how soon the calls that wait at hosts are to be worked off: what is let in leaves room for them.
-	// Reckoned from what comes alone, a queue that a burst had filled stayed full for as long as the hosts were busy.
-	drainWithin = Millis(2000)
 	// waitsFrom is the answer time, for each of the usual one, from which calls are taken to wait at a host.
 	waitsFrom = 1.5
 	// repeated is the part of the calls without an answer that clients make again: between none and all of them.
@@ -126,11 +123,14 @@
 
 // steer sets the number of routes that are let in whole: at once to less, step by step to more.
 func (g *gate) steer(c capability, all, usual float64) {
-	fits := max(0, strain*c.able-c.waiting*1000/float64(drainWithin))
-	want, excess := float64(len(g.rules.cheap)), usual*(1-fits/max(all, 0.1))
+	fits := strain * c.able
 	if c.roomy() {
-		excess = 0
+		fits = max(fits, all)
 	}
+	// What waits is worked off within the time that the most pressing route wants its answers in, also where it waits
+	// at a few hosts only: what is let in leaves room for it.
+	fits = max(0, fits-c.waiting*1000/float64(max(1, g.rules.slo)))
+	want, excess := float64(len(g.rules.cheap)), usual*(1-fits/max(all, 0.1))
 	for _, r := range g.rules.cheap {
 		cut := min(1, max(0, excess)/max(g.usual[r], 0.001))
 		want, excess = want-cut, excess-cut*g.usual[r]
