--- a/internal/platform/decisions.go
+++ b/internal/platform/decisions.go
@@ -59,7 +59,8 @@
 	d.log.Info("load", "calls_per_s", round(r.Calls), "let_in_per_s", round(r.LetIn),
 		"unanswered_per_s", round(r.Unanswered), "tries_per_s", round(r.Tries), "demand_per_s", round(r.Demand),
 		"capacity_per_s", round(r.Capacity), "busy", round(r.Busy), "loss", round(r.Loss),
-		"answer_ms", int(r.AnswerTime), "in_hand", round(r.InHand), "waiting", round(r.Waiting), "full_hosts", r.Full, "hosts", r.InUse,
+		"answer_ms", int(r.AnswerTime), "in_hand", round(r.InHand), "waiting", round(r.Waiting),
+		"full_hosts", r.Full, "hosts", r.InUse,
 		"levels", joined(r.Levels), "levels_written", joined(r.Written), "written_for_ms", int(r.WrittenFor))
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -51,8 +51,15 @@
 	}
 }
 
-// up starts a director of two proxies and four slices, of which h1 and h2 hold two each, with h3 beside.
+// up starts a director on a new stage.
 func up(t *testing.T) *stage {
+	s := newStage(t)
+	s.start()
+	return s
+}
+
+// newStage is one of two proxies and four slices, of which h1 and h2 hold two each, with h3 beside.
+func newStage(t *testing.T) *stage {
 	s := &stage{t: t, relay: newRelay(t), agent: newAgent(t, "h1", "h2", "h3"), listen: free(t), file: filepath.Join(t.TempDir(), "config.json"),
 		signals: make(chan os.Signal, 4), ended: make(chan error, 1), log: &logged{}}
 	for p := range 2 {
@@ -63,7 +70,6 @@
 		s.relay.tell("held", fmt.Sprintf(`"shard":%d,"endpoint":"h%d","w":1.0`, slice, 1+slice%2))
 	}
 	s.configure(s.agent.whole())
-	s.start()
 	return s
 }
 
--- a/internal/platform/soak_test.go
+++ b/internal/platform/soak_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -56,17 +55,8 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{random: rand.New(rand.NewPCG(seed, seed)), done: make(chan struct{}), stage: &stage{t: t, relay: newRelay(t),
-		agent: newAgent(t, "h1", "h2", "h3"), listen: free(t), file: filepath.Join(t.TempDir(), "config.json"), log: &logged{}}}
-	for proxy := range 4 {
-		s.relay.tell("joined", fmt.Sprintf(`"node":%d,"locality":"a","w":20,"cold":true`, proxy))
-	}
-	for slice := range 4 {
-		s.relay.tell("given", fmt.Sprintf(`"shard":%d,"set":true`, slice))
-		s.relay.tell("held", fmt.Sprintf(`"shard":%d,"endpoint":"h%d","w":1.0`, slice, 1+slice%2))
-	}
-	s.configure(s.agent.whole())
-	return s
+	random := rand.New(rand.NewPCG(seed, seed))
+	return &soak{random: random, done: make(chan struct{}), stage: newStage(t)}
 }
 
 // begin starts the process and waits until it answers.
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -158,35 +158,28 @@
 	return now
 }
 
-// usualAble is the median of what hosts can do for each unit of listed weight, of those that have shown it.
-func (g *gate) usualAble() float64 {
+// typical is the median of a value over the hosts in use that show it.
+func (g *gate) typical(of func(standing) (value float64, shown bool)) float64 {
 	var all []float64
 	for _, s := range g.seats.all() {
-		if s.usable && s.able > 0 {
-			all = append(all, s.able/s.prior)
+		if value, shown := of(s); s.usable && shown {
+			all = append(all, value)
 		}
 	}
 	return middle(all)
 }
 
-// typicalLoss is the median share of tries that hosts in use lose.
+// usualAble is what hosts can do for each unit of listed weight.
+func (g *gate) usualAble() float64 {
+	return g.typical(func(s standing) (float64, bool) { return s.able / s.prior, s.able > 0 })
+}
+
+// typicalLoss is the share of tries that hosts lose.
 func (g *gate) typicalLoss() float64 {
-	var all []float64
-	for _, s := range g.seats.all() {
-		if s.usable && s.flow > 0 {
-			all = append(all, s.loss)
-		}
-	}
-	return middle(all)
+	return g.typical(func(s standing) (float64, bool) { return s.loss, s.flow > 0 })
 }
 
-// usualSpent is the median time of the answers of hosts in use.
+// usualSpent is the time of the answers of hosts.
 func (g *gate) usualSpent() float64 {
-	var all []float64
-	for _, s := range g.seats.all() {
-		if s.usable && s.spent > 0 {
-			all = append(all, s.spent)
-		}
-	}
-	return middle(all)
+	return g.typical(func(s standing) (float64, bool) { return s.spent, s.spent > 0 })
 }
--- a/logic/health_test.go
+++ b/logic/health_test.go
@@ -41,3 +41,21 @@
 		}
 	}
 }
+
+// A host that hangs is heard of again once its calls have timed out. Lines without an answer are no sign of life.
+func TestLostTriesAreNoSignOfLife(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost   int
+		silent bool
+	}{"answers": {0, false}, "time-outs": {5, true}} {
+		h := &host{loop: &loop{now: 10000}, due: 4}
+		h.rules = derive(Facts{ReportEvery: 500})
+		h.met(Met{Over: 500, Ended: 5})
+		h.dueSince, h.now = 10000, 15000
+		h.missing(h.now)
+		h.met(Met{Over: 500, Ended: 5, Lost: c.lost})
+		if got := h.silent(h.now - h.lastAnswer); got != c.silent {
+			t.Errorf("after a line of %s: silent %v", name, got)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,7 +62,8 @@
 	b := bounds{sliced: f.Slices > 0, oneOwner: f.OneOwner, asks: f.AsksForList, probes: f.MayProbe,
 		shared: f.Directors > 1 && f.Slices > 0 && !f.OneOwner,
 		advice: f.GoneIsAdvice, listed: f.Weighted, queue: f.QueueLimit, head: f.HeadLines,
-		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, worstTransit: f.WorstTransit, messages: f.MessageLimit, span: f.MessageSpan,
+		pace: max(1, f.LinesPerSecond) / 1000, transit: f.Transit, worstTransit: f.WorstTransit, messages: f.MessageLimit,
+		span:   f.MessageSpan,
 		levels: f.Levels, reportEvery: max(1, f.ReportEvery), warmFor: f.WarmAfter,
 		settle: f.WriteLease + f.WriteSettle + f.WorstTransit}
 	b.health = max(healthMemory, b.reportEvery*5/4) // shorter, it would see but the last report
--- a/logic/observe.go
+++ b/logic/observe.go
@@ -94,7 +94,7 @@
 	OldestWait                               Millis
 	QueuedLines, UnacknowledgedLines         float64
 	Messages                                 int // that some proxy has not acknowledged
-	Silences                                 int // times that nobody acknowledged anything for so long that messages were let go
+	Silences                                 int // times that messages were let go which nobody acknowledged
 	Masked                                   int
 }
 
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -107,7 +107,8 @@
 		urgent, pressed = urgent || w.urgent, pressed || p.bare(t, 0)
 	}
 	masks, shuts := len(p.ajar(bound)) > 0, slices.ContainsFunc(p.ajar(closed), p.dispensable)
-	pressed = pressed || shuts || slices.ContainsFunc(p.ajar(opened), p.awaited) || p.tightens() || p.relevels() && p.stood.level == nil && slices.Min(p.levels.level) < 1
+	pressed = pressed || shuts || slices.ContainsFunc(p.ajar(opened), p.awaited) || p.tightens() ||
+		p.relevels() && p.stood.level == nil && slices.Min(p.levels.level) < 1
 	since(&p.hurrySince, pressed || masks || urgent, p.now)
 	since(&p.since, p.wants.len() > 0 || rebind || reopen || p.relevels() ||
 		len(p.ajar(opened)) > 0 || len(p.ajar(rested)) > 0, p.now)
