--- a/internal/platform/codec/messages.go
+++ b/internal/platform/codec/messages.go
@@ -46,7 +46,7 @@
 	}
 	out, f := Message{Kind: m.T}, fields{kind: m.T}
 	switch m.T {
-	case "ping":
+	case SignOfLife:
 	case "collector":
 		out.Zone = f.zone(n, m.Locality)
 	case "heard":
@@ -148,6 +148,10 @@
 	Error string // that it was refused with
 }
 
+// SignOfLife is the kind of the news that the relay sends each second while it can be reached, and of the requests for
+// an answer that anybody may make.
+const SignOfLife = "ping"
+
 type frame struct {
 	ID     *uint64
 	Method *string
@@ -218,7 +222,7 @@
 func (n *Names) news(kind string, p *params) (*News, error) {
 	out, f := &News{Kind: kind}, fields{kind: kind}
 	if p == nil {
-		if kind == "ping" {
+		if kind == SignOfLife {
 			return out, nil
 		}
 		p = &params{}
@@ -226,7 +230,7 @@
 	node := func() logic.ProxyID { return logic.ProxyID(f.whole("node", p.Node, n.Proxies-1)) }
 	shard := func() logic.TableID { return logic.TableID(f.whole("shard", p.Shard, n.Slices-1)) }
 	switch kind {
-	case "ping":
+	case SignOfLife:
 	case "joined":
 		out.Note = logic.Joined{Proxy: node(), Zone: f.zone(n, p.Locality), Rate: f.number("w", p.W, mostCount),
 			Fresh: p.Cold != nil && *p.Cold}
--- a/internal/platform/collect/collect.go
+++ b/internal/platform/collect/collect.go
@@ -109,7 +109,8 @@
 		}
 		s.mu.Unlock()
 		for _, p := range all {
-			if p.asked.Load() || !p.collects.Load() || p.conn.Reader().Len() > 0 {
+			young := time.Since(p.born) < joinFor // its first request may be on its way
+			if p.asked.Load() || !p.collects.Load() || young || p.conn.Reader().Len() > 0 {
 				s.refuse(p, "the director ends")
 			}
 			p.refusing.Lock() // a refusal that has begun is written whole
@@ -273,7 +274,7 @@
 func (s *Server) line(p *peer, line []byte) any {
 	m, err := s.names.Read(line)
 	switch {
-	case err == nil && m.Kind == "ping":
+	case err == nil && m.Kind == codec.SignOfLife:
 		p.asked.Store(true)
 		if p.pings++; !p.joined && p.pings > mostPings {
 			s.refuse(p, "too many signs of life were asked for")
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -295,6 +295,9 @@
 		d.lag.add(a.Spent)
 		d.applied(a)
 	}
+	if n.Kind == codec.SignOfLife {
+		d.notes = append(d.notes, logic.NewsAlive{})
+	}
 	d.notes = append(d.notes, d.book.Take(now, n)...)
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -144,6 +144,8 @@
 		Serial SerialID
 		Spent  Millis
 	}
+	// NewsAlive tells that the connection that brings acknowledgements has just shown a sign of life.
+	NewsAlive struct{}
 	// Unsure tells that the channel may have taken the reply that bore this stamp, or may not.
 	Unsure struct{ Serial SerialID }
 	Due    struct{ Timer TimerID }
--- a/logic/channel.go
+++ b/logic/channel.go
@@ -76,10 +76,23 @@
 // A message goes to one proxy after the other: however slow the channel is, the first of them answer.
 func (p *publisher) silentFor() Millis { return slowest*p.rules.transit + p.rules.worstTransit }
 
+// newsGap is how far apart two signs of life of the news may be: one comes each second.
+const newsGap = Millis(1500)
+
+// newsAlive notes a sign of life.
+func (p *publisher) newsAlive() {
+	if p.now-p.newsAt > newsGap {
+		p.newsSince = p.now
+	}
+	p.newsAt = p.now
+}
+
 // silent says whether messages are on their way and none of the proxies has acknowledged anything for so long that
-// the messages, or the answers to them, must be lost: a channel that is merely slow goes on answering.
+// the messages, or the answers to them, must be lost: a channel that is merely slow goes on answering, and news come.
 func (p *publisher) silent() bool {
-	if len(p.flights) == 0 {
+	// Without news nothing is known: the way to the proxies may be cut, with all that was written waiting in it.
+	alive := p.newsAt > 0 && p.now-p.newsAt <= newsGap && p.now >= p.newsSince+p.silentFor()
+	if len(p.flights) == 0 || !alive {
 		return false
 	}
 	for _, f := range p.flights {
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -214,6 +214,8 @@
 		p.own(n)
 	case Unsure:
 		p.doubt(n)
+	case NewsAlive:
+		p.newsAlive()
 	case settleNow:
 		p.forgetSilent()
 		if doubted := p.again(); p.due() && !doubted {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -260,6 +260,7 @@
 	sent              []Millis
 	flights           []*flight
 	ownedAt           Millis // when a proxy last acknowledged a message
+	newsAt, newsSince Millis // the last sign of life of what brings acknowledgements, and since when they come
 	silences          int    // times that nobody acknowledged anything
 	serial            SerialID
 	clear             Millis // when the channel is empty at its usual pace
