--- a/internal/platform/collect/collect.go
+++ b/internal/platform/collect/collect.go
@@ -28,9 +28,11 @@
 	writeFor    = 200 * time.Millisecond
 	mostStrange = 4 << 10 // bytes of a line before joining
 	mostLine    = 1 << 20
-	perZone     = 3   // connections of a zone's collector: it comes back while its former one still seems open
-	mostPings   = 64  // answered before joining
-	spare       = 32  // connections kept for collectors, beside those they have
+	perZone     = 3  // connections of a zone's collector: it comes back while its former one still seems open
+	mostPings   = 64 // answered before joining
+	spare       = 32 // connections kept for collectors, beside those they have
+	refuseTries = 5
+	refusePause = time.Millisecond
 	logged      = 100 // lines about what was dropped; from then on only every hundredth
 )
 
@@ -190,7 +192,13 @@
 	}
 	s.turned.Add(1)
 	s.log.Debug("stranger.refused", "from", p.conn.RemoteAddr().String(), "why", why)
-	p.conn.Write(refused)
+	// An answer may be on its way out on the same connection: what is asked behind that would find no answer.
+	for range refuseTries {
+		if _, err := p.conn.Write(refused); err == nil || !p.conn.IsActive() {
+			break
+		}
+		time.Sleep(refusePause)
+	}
 	p.conn.Close()
 }
 
