--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -35,26 +35,35 @@
 	}
 }
 
-// once is one reading. The manager is told that it is over, whatever came of it.
+// once is one reading. The manager is told that it is over, whatever came of it, before anybody else can see that it is.
 func (a Again) once(was map[string]string, front *longpoll.Server, st *store.Store, ledger *budget.Ledger, log *slog.Logger) {
 	tell(log, daemon.SdNotifyReloading+"\n"+monotonic())
-	defer tell(log, daemon.SdNotifyReady)
-	text, err := os.ReadFile(a.File)
+	plan, err := a.apply(was, front, st, ledger, log)
+	tell(log, daemon.SdNotifyReady)
 	if err != nil {
 		log.Error("reload.refused", "error", err)
 		return
 	}
+	log.Info("reload.done", "changed", len(plan.Now), "take_restart", len(plan.Restart))
+}
+
+// apply reads the file and has what changed in it take effect, as far as it can without a restart. A file that is wrong
+// changes nothing; the error names all that is wrong with it, each with its place.
+func (a Again) apply(was map[string]string, front *longpoll.Server, st *store.Store, ledger *budget.Ledger,
+	log *slog.Logger) (plan reload.Plan, err error) {
+	text, err := os.ReadFile(a.File)
+	if err != nil {
+		return plan, err
+	}
 	s, err := settings.Parse(a.File, text)
-	if err != nil { // all that is wrong with it, each with its place
-		log.Error("reload.refused", "error", err)
-		return
+	if err != nil {
+		return plan, err
 	}
-	plan := reload.Of(was, s.Written)
 	m, err := means(s)
 	if err != nil {
-		log.Error("reload.refused", "error", err)
-		return
+		return plan, err
 	}
+	plan = reload.Of(was, s.Written)
 	ledger.Have(m)
 	st.Keep(s.History)
 	front.Limit(s.Front)
@@ -65,7 +74,7 @@
 	for _, c := range plan.Restart {
 		log.Warn("reload.takes_restart", "what", c.String())
 	}
-	log.Info("reload.done", "changed", len(plan.Now), "take_restart", len(plan.Restart))
+	return plan, nil
 }
 
 // monotonic is the time of a reload as the protocol wants it.
