--- a/logic/masks.go
+++ b/logic/masks.go
@@ -43,14 +43,7 @@
 
 // held says whether a standing table would offer a host more than is wanted, were its mask lifted now, and
 // none has only that host to offer.
-func (p *publisher) held(id HostID) bool {
-	for t, table := range p.stands.all() {
-		if table.holds(id) && !p.sure(t, id) {
-			return false
-		}
-	}
-	return p.over(id)
-}
+func (p *publisher) held(id HostID) bool { return !p.awaited(id) && p.over(id) }
 
 // over says whether a standing table would offer a host more than is wanted, were its mask lifted now.
 func (p *publisher) over(id HostID) bool {
