--- a/internal/longpoll/ask.go
+++ b/internal/longpoll/ask.go
@@ -205,15 +205,15 @@
 	var h *head
 	switch kind {
 	case control.Unknown:
-		s.refuse(p, bad(http.StatusNotFound, "%s", a.Why))
+		s.refuseAsked(p, bad(http.StatusNotFound, "%s", a.Why))
 	case control.Wrong:
-		s.refuse(p, bad(http.StatusBadRequest, "%s", a.Why))
+		s.refuseAsked(p, bad(http.StatusBadRequest, "%s", a.Why))
 	case control.Busy:
-		s.refuse(p, bad(http.StatusServiceUnavailable, "%s", a.Why))
+		s.refuseAsked(p, bad(http.StatusServiceUnavailable, "%s", a.Why))
 	case control.Told:
 		body, err := json.Marshal(a.Body)
 		if err != nil {
-			s.refuse(p, bad(http.StatusInternalServerError, "%v", err))
+			s.refuseAsked(p, bad(http.StatusInternalServerError, "%v", err))
 			break
 		}
 		h := newHead(http.StatusOK, p.closes)
--- a/internal/longpoll/server.go
+++ b/internal/longpoll/server.go
@@ -213,8 +213,7 @@
 		}
 		p.closes, p.since = r.Close, time.Now()
 		if wrong = s.ask(p, r); wrong != nil {
-			wrong.close = wrong.close || p.closes
-			s.refuse(p, wrong)
+			s.refuseAsked(p, wrong)
 		}
 		in = in[r.length:]
 	}
@@ -232,6 +231,12 @@
 	s.write(p, head, body, wrong.close)
 }
 
+// refuseAsked refuses a request that was read whole; the connection ends with it where the client asked for that.
+func (s *Server) refuseAsked(p *peer, wrong *problem) {
+	wrong.close = wrong.close || p.closes
+	s.refuse(p, wrong)
+}
+
 // write puts an answer into the connection's buffer, and gives its head back; the peer's lock is held.
 func (s *Server) write(p *peer, h *head, body []byte, closes bool) {
 	defer spare.Put(h)
