A table's main lines go first where not all fits; no more demand is reckoned than comes

A rewritten table cost three or four lines a proxy, of six that a message has beside its heads (publisher.flush, write). Now its main lines go first, what goes and the standby follow (write_order.go, nextStep, essential; the bare tables' own form of it is gone).

Unit tests in admission_test.go.

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -16,6 +16,8 @@
 	// easeShare is the part of the way to what fits that levels ease at each weighing. What fits is known to a tenth or
 	// two: eased by small steps alone, levels followed the lowest of what was reckoned, and not its middle.
 	easeShare = 0.25
+	// levelSteps are those in which a level is told: a smaller change is not worth a message.
+	levelSteps = 20.0
 	// calmMemory is the half-life of the answer time while hosts have room.
 	calmMemory = 0.1
 )
@@ -75,32 +77,37 @@
 	return max(0, g.asked[r].rate(g.now, gateMemory, 0)-repeated*g.unanswered[r].rate(g.now, gateMemory, 0))
 }
 
+// throttles says whether some calls are turned away: levels are told in steps, and the last part of one is none.
+func (g *gate) throttles() bool { return g.level < float64(len(g.usual))-0.5/levelSteps }
+
 // estimateDemand tells the calls a second that come, and what comes usually, when none is turned away. A throttled
-// route's calls come again and tell nothing of how many there are; the most important's do.
+// route's calls come again and tell nothing of how many there are; the most important's do. But there are no more than
+// come: the mix of routes may have been learnt from the first few calls after a start.
 func (g *gate) estimateDemand() (all, usual float64) {
+	come := 0.0
 	for r := range g.usual {
-		if g.level == float64(len(g.usual)) {
+		if !g.throttles() {
 			g.usual[r] = g.arrivals(RouteID(r))
 		}
 		usual += g.usual[r]
+		come += g.asked[r].rate(g.now, gateMemory, 0)
 	}
 	for _, lead := range slices.Backward(g.rules.cheap) {
 		if g.usual[lead] > 0 {
-			return usual * g.arrivals(lead) / g.usual[lead], usual
+			return min(come, usual*g.arrivals(lead)/g.usual[lead]), usual
 		}
 	}
-	return usual, usual
+	return min(come, usual), usual
 }
 
 // weigh compares the calls that come, and those that wait, with what hosts can do and lets in the part that fits.
 // Tries would not do: they end late, and those of a jam would throttle what comes after it.
 func (g *gate) weigh() {
 	c := g.measure()
-	top := float64(len(g.rules.cheap))
 	all, usual := g.estimateDemand()
 	around := fleet{pressure: c.tried / max(c.able, 0.1), loss: c.lost / max(c.tried, 0.1),
 		busy: c.busy / max(c.busyOf, 0.1), typicalLoss: g.typicalLoss(), out: c.ill / max(c.ill+c.usable, 1)}
-	if g.level < top { // else all that come are in the pressure
+	if g.throttles() { // else all that come are in the pressure
 		around.wanted = all / max(c.able, 0.1)
 	}
 	g.around, g.demand, g.capacity, g.waiting = around, all, c.able, c.waiting
@@ -114,7 +121,7 @@
 	if g.told.level == nil && (c.able == 0 || usual == 0) {
 		return // proxies may hold an earlier start's levels, which know more than we do yet
 	}
-	now := g.levels(g.level < top || around.pressure > strain || c.restarting > c.usable*crowd)
+	now := g.levels(g.throttles() || around.pressure > strain || c.restarting > c.usable*crowd)
 	if !slices.Equal(now.level, g.told.level) || !slices.Equal(now.tries, g.told.tries) {
 		g.told = now
 		g.post(g.to, now)
@@ -145,7 +152,7 @@
 	now := levelled{make([]float64, len(g.usual)), make([]int, len(g.usual))}
 	for i, r := range g.rules.cheap {
 		part := max(levelLow, min(1, g.level-(top-1-float64(i))))
-		now.level[r], now.tries[r] = math.Round(part*20)/20, g.rules.ways[r]
+		now.level[r], now.tries[r] = math.Round(part*levelSteps)/levelSteps, g.rules.ways[r]
 		if strained {
 			now.tries[r] = min(1, now.tries[r])
 		}
--- /dev/null
+++ b/logic/admission_test.go
@@ -0,0 +1,32 @@
+package logic
+
+import "testing"
+
+// The mix of routes may have been learnt from the first few calls after a start: no more calls are reckoned than come.
+// Found on real sockets (issue 34): 300 a second beside 120 that came, for 20 s.
+func TestDemandIsNoMoreThanComes(t *testing.T) {
+	const cheap, lead = RouteID(0), RouteID(1)
+	d := New(1, Facts{Slices: 1, ReportEvery: 500, Levels: LevelShare,
+		Routes: []Route{{Importance: 1, SLO: 1000}, {Importance: 3, SLO: 1000}}})
+	g := d.gate
+	g.usual = []float64{9, 1}
+	g.level = 1.5
+	d.now = 10000
+	g.asked[cheap].add(d.now, gateMemory, 80)
+	g.asked[lead].add(d.now, gateMemory, 40)
+	come := g.asked[cheap].rate(d.now, gateMemory, 0) + g.asked[lead].rate(d.now, gateMemory, 0)
+	if all, _ := g.estimateDemand(); all > come+0.001 {
+		t.Errorf("a demand of %.1f calls a second is reckoned where %.1f come", all, come)
+	}
+}
+
+// A level that is told as whole turns nobody away, and what comes usually is learnt again.
+func TestLevelsToldAsWholeThrottleNothing(t *testing.T) {
+	g := New(1, Facts{Slices: 1, ReportEvery: 500, Levels: LevelShare, Routes: []Route{{SLO: 1000}, {SLO: 1000}}}).gate
+	if g.level = 1.98; g.throttles() {
+		t.Error("a level that is told as 1 is taken to throttle")
+	}
+	if g.level = 1.9; !g.throttles() {
+		t.Error("a level of 0.9 is taken to throttle nothing")
+	}
+}
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -160,17 +160,11 @@
 		if bare {
 			first = func(w wanted) float64 { return -float64(w.at) }
 		}
+		whole := !bare && p.fitsWhole(cost, part)
 		for _, w := range p.wantedBy(bare, first) {
 			t, lines := w.table, w.lines
-			if held := p.stands.get(t); bare && len(held) > 0 && p.rules.sliced && !p.rules.oneOwner {
-				// Just what calls need, where many tables are bare at once: what goes and the standby can wait.
-				lines = slices.Clone(held)
-				for _, l := range w.lines {
-					if l.weight*2 >= w.lines.heaviest().weight && !held.holds(l.host) {
-						lines = append(lines, l)
-					}
-				}
-				lines.sorted()
+			if !whole {
+				lines = p.nextStep(w, !bare)
 			}
 			changes := p.changes(t, lines)
 			if !cost.book(part, float64(len(changes)), using(t)) {
@@ -179,6 +173,9 @@
 			p.out = append(p.out, changes...)
 			if p.stands.put(t, lines); slices.Equal(lines, w.lines) {
 				p.wants.drop(t)
+			} else {
+				w.at, w.urgent = p.now, false // its calls go where they should: the rest can wait
+				p.wants.put(t, w)
 			}
 			p.post(p.place, laid{t, lines})
 			for _, l := range lines {
--- a/logic/write_order.go
+++ b/logic/write_order.go
@@ -1,5 +1,7 @@
 package logic
 
+import "slices"
+
 // The order in which tables are written that wait for room in the channel. What a change is worth is multiplied by
 // how long it has waited, so that none waits without end behind others of more worth.
 
@@ -13,6 +15,7 @@
 	plainWorth      = 0.02 // of a slice's calls: for a change that relieves no host
 	clearlyLess     = 0.1  // of a level: from there a change presses
 	vulnerableWorth = 0.5  // the same for a table that has a single host left to offer
+	heavyPart       = 0.5  // of the heaviest line: a main line of a table, as its calls go there
 )
 
 // worth is what the writing of a new table is worth, in calls a second.
@@ -71,3 +74,51 @@
 	}
 	return Millis(float64(times*p.streams.len()) * (p.rules.head + 1) / p.rules.pace)
 }
+
+// fitsWhole says whether the message being filled has room for all wanted tables as they are.
+func (p *publisher) fitsWhole(message *flight, part float64) bool {
+	needed := p.neededLines(false)
+	return message.filled+needed <= message.queue*part && message.unowned+needed <= message.queue*surePart
+}
+
+// nextStep is what a table is to hold next where not all that is wanted fits: what its calls need, and the rest once
+// that stands.
+func (p *publisher) nextStep(w wanted, spare bool) lines {
+	if !p.rules.sliced || p.rules.oneOwner {
+		return w.lines
+	}
+	needed := p.essential(p.stands.get(w.table), w.lines, spare)
+	if spare && slices.Equal(needed, p.stands.get(w.table)) {
+		return w.lines
+	}
+	return needed
+}
+
+// essential are the lines of a wanted table that its calls need, beside those that stand and do no harm: lines of
+// hosts that are out draw no calls, and a light one is as good a standby as the one that is wanted. Where many tables
+// wait, one line in place of four moves a slice's calls. With spare the table has a second host to offer.
+func (p *publisher) essential(stands, want lines, spare bool) lines {
+	heavy := want.heaviest().weight * heavyPart
+	var out lines
+	open := 0
+	for _, l := range want {
+		if l.weight >= heavy || stands.holds(l.host) {
+			out = append(out, l)
+			open++
+		}
+	}
+	for _, l := range stands {
+		door := p.doors.get(l.host)
+		if shut := door == closed || door == bound; !want.holds(l.host) && (shut || l.weight < heavy) {
+			out = append(out, l)
+			open += int(bit(door == opened && !p.masked.get(l.host), 0))
+		}
+	}
+	for _, l := range want {
+		if spare && open < 2 && !out.holds(l.host) {
+			out = append(out, l)
+			open++
+		}
+	}
+	return out.sorted()
+}
