Levels let in what fits of all calls that come, those made again among them

A level is the part of all calls that is let in, and calls that are lost or turned away come again; the gate reckoned the part from the calls that were wanted in the first place (gate.steer: usual, all). Now the part is that of the calls that come (steer), and repeats lower it by themselves. Unit test: 85 calls let in for 100 that hosts can do.

New in the log: orders.taken, by kind. An essential part of a table that changes nothing is not taken for one (nextStep).

--- a/internal/platform/figures.go
+++ b/internal/platform/figures.go
@@ -4,6 +4,7 @@
 	"os"
 	"runtime"
 
+	"vetchwood/internal/platform/outbox"
 	"vetchwood/logic"
 )
 
@@ -21,12 +22,35 @@
 		"heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine(), "descriptors", len(open),
 		"slowest_turn", d.slow.String())
 	h := d.heard
+	k := c.kinds
+	d.log.Info("orders.taken", "lines", k.lines, "removals", k.removals, "masks", k.masks, "levels", k.levels, "marks", k.marks)
+	d.counts.kinds = kinds{}
 	d.log.Info("heard", "hosts", h.hosts, "tries", h.tries, "lost", h.lost, "over_ms", mean(h.hostOver, h.hosts),
 		"slices", h.slices, "calls", h.calls, "calls_over_ms", mean(h.sliceOver, h.slices))
 	d.slow, d.heard = 0, heard{}
 	d.reportDecisions()
 }
 
+// kinds counts the orders that the relay took since the last figures, by what they are.
+type kinds struct{ lines, removals, masks, levels, marks int }
+
+func (k *kinds) add(orders []outbox.Op) {
+	for _, o := range orders {
+		switch {
+		case o.Kind == outbox.Line && o.Weight > 0:
+			k.lines++
+		case o.Kind == outbox.Line, o.Kind == outbox.Clear:
+			k.removals++
+		case o.Kind == outbox.Mask:
+			k.masks++
+		case o.Kind == outbox.Level:
+			k.levels++
+		case o.Kind == outbox.Mark:
+			k.marks++
+		}
+	}
+}
+
 // heard sums the reports since the last figures, to be set beside what passed: a report covers longer the more there are to send.
 type heard struct {
 	hosts, tries, lost  int
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -78,6 +78,7 @@
 type counts struct {
 	calls, unsure, unsent, later, refused, taken, unknown uint64
 	begun, broke, lists                                   int
+	kinds                                                 kinds
 }
 
 // Run is a director's life: until SIGTERM, or something that it can't do without fails. SIGHUP has the configuration read anew.
@@ -438,6 +439,7 @@
 func (d *director) finish(how outbox.Fate, taken int, why string) {
 	out := d.box.Ended(how, taken)
 	d.counts.taken += uint64(len(out.Taken))
+	d.counts.kinds.add(out.Taken)
 	d.book.Taken(out.Taken)
 	for _, o := range out.Dropped {
 		d.counts.refused++
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -72,9 +72,12 @@
 	return c
 }
 
-// arrivals is the rate of a route's calls, without those that are made again for want of an answer.
+// calls is the rate at which a route's calls come, with those that are made again.
+func (g *gate) calls(r RouteID) float64 { return g.asked[r].rate(g.now, gateMemory, 0) }
+
+// arrivals is the same without those that are made again for want of an answer.
 func (g *gate) arrivals(r RouteID) float64 {
-	return max(0, g.asked[r].rate(g.now, gateMemory, 0)-repeated*g.unanswered[r].rate(g.now, gateMemory, 0))
+	return max(0, g.calls(r)-repeated*g.unanswered[r].rate(g.now, gateMemory, 0))
 }
 
 // throttles says whether some calls are turned away: levels are told in steps, and the last part of one is none.
@@ -84,13 +87,13 @@
 // route's calls come again and tell nothing of how many there are; the most important's do. But there are no more than
 // come: the mix of routes may have been learnt from the first few calls after a start.
 func (g *gate) estimateDemand() (all, usual float64) {
-	come := 0.0
+	come := 0.0 // with all that is made again
 	for r := range g.usual {
 		if !g.throttles() {
 			g.usual[r] = g.arrivals(RouteID(r))
 		}
 		usual += g.usual[r]
-		come += g.asked[r].rate(g.now, gateMemory, 0)
+		come += g.calls(RouteID(r))
 	}
 	for _, lead := range slices.Backward(g.rules.cheap) {
 		if g.usual[lead] > 0 {
@@ -116,7 +119,7 @@
 		g.post(s.from, around)
 	}
 	if g.rules.levels != NoLevels && c.able > 0 && usual > 0 {
-		g.steer(c, all, usual)
+		g.steer(c)
 	}
 	if g.told.level == nil && (c.able == 0 || usual == 0) {
 		return // proxies may hold an earlier start's levels, which know more than we do yet
@@ -128,19 +131,26 @@
 	}
 }
 
-// steer sets the number of routes that are let in whole: at once to less, step by step to more.
-func (g *gate) steer(c capability, all, usual float64) {
+// steer sets the number of routes that are let in whole: at once to less, step by step to more. Levels let in a part of
+// all calls that come, those made again among them, so it is these that have to fit: levels for the calls that were
+// wanted in the first place let in twice what hosts can do once calls are lost or turned away and made again, and the
+// losses kept it so.
+func (g *gate) steer(c capability) {
+	come := 0.0
+	for _, r := range g.rules.cheap {
+		come += g.calls(r)
+	}
 	fits := strain * c.able
 	if c.roomy() {
-		fits = max(fits, all)
+		fits = max(fits, come)
 	}
 	// What waits is worked off within the time that the most pressing route wants its answers in, also where it waits
 	// at a few hosts only: what is let in leaves room for it.
 	fits = max(0, fits-c.waiting*1000/float64(max(1, g.rules.slo)))
-	want, excess := float64(len(g.rules.cheap)), usual*(1-fits/max(all, 0.1))
+	want, excess := float64(len(g.rules.cheap)), come-fits
 	for _, r := range g.rules.cheap {
-		cut := min(1, max(0, excess)/max(g.usual[r], 0.001))
-		want, excess = want-cut, excess-cut*g.usual[r]
+		cut := min(1, max(0, excess)/max(g.calls(r), 0.001))
+		want, excess = want-cut, excess-cut*g.calls(r)
 	}
 	ease := max(levelEase*float64(weighEvery)/1000, easeShare*(want-g.level))
 	g.level = max(levelLow, min(want, g.level+ease))
@@ -158,7 +168,7 @@
 		}
 		if g.rules.levels == LevelRate {
 			if now.level[r] = 1e6; part < 1 && g.joined.len() > 0 {
-				now.level[r] = math.Ceil(part * g.usual[r] / float64(g.joined.len()))
+				now.level[r] = math.Ceil(part * g.calls(r) / float64(g.joined.len()))
 			}
 		}
 	}
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -30,3 +30,23 @@
 		t.Error("a level of 0.9 is taken to throttle nothing")
 	}
 }
+
+// Levels let in a part of all calls that come, also of those that are made again: that part has to fit. Levels for the
+// calls that were wanted in the first place let in twice what hosts could do, and what was lost by that came again
+// (issue 34, real sockets).
+func TestWhatIsLetInFitsAllCallsThatCome(t *testing.T) {
+	const cheap, lead = RouteID(0), RouteID(1)
+	const able = 100.0
+	g := New(1, Facts{Slices: 1, ReportEvery: 500, Levels: LevelShare,
+		Routes: []Route{{Importance: 1, SLO: 1000}, {Importance: 3, SLO: 1000}}}).gate
+	g.now = 10000
+	g.usual = []float64{60, 30} // wanted, as learnt before
+	g.asked[cheap].add(g.now, gateMemory, 300)
+	g.asked[lead].add(g.now, gateMemory, 40)
+	g.steer(capability{able: able, busy: able, busyOf: able})
+	levels := g.levels(true).level
+	letIn := levels[cheap]*g.calls(cheap) + levels[lead]*g.calls(lead)
+	if letIn > able {
+		t.Errorf("%.0f calls a second are let in where hosts can do %.0f", letIn, able)
+	}
+}
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -173,7 +173,7 @@
 			p.out = append(p.out, changes...)
 			if p.stands.put(t, lines); slices.Equal(lines, w.lines) {
 				p.wants.drop(t)
-			} else {
+			} else if len(changes) > 0 {
 				w.at, w.urgent = p.now, false // its calls go where they should: the rest can wait
 				p.wants.put(t, w)
 			}
--- a/logic/write_order.go
+++ b/logic/write_order.go
@@ -1,7 +1,5 @@
 package logic
 
-import "slices"
-
 // The order in which tables are written that wait for room in the channel. What a change is worth is multiplied by
 // how long it has waited, so that none waits without end behind others of more worth.
 
@@ -88,7 +86,7 @@
 		return w.lines
 	}
 	needed := p.essential(p.stands.get(w.table), w.lines, spare)
-	if spare && slices.Equal(needed, p.stands.get(w.table)) {
+	if spare && len(p.changes(w.table, needed)) == 0 {
 		return w.lines
 	}
 	return needed
