--- a/internal/nets/dial.go
+++ b/internal/nets/dial.go
@@ -16,6 +16,8 @@
 	// would end them all at once, or have them last for as long as the step.
 	SetReadTimeout(time.Duration) error
 	SetWriteTimeout(time.Duration) error
+	// Writer holds what is written until it went out.
+	Writer() netpoll.Writer
 }
 
 // leastTimeout is the shortest time limit; 0 would be none.
--- a/internal/nets/lines_test.go
+++ b/internal/nets/lines_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"os"
 	"testing"
 	"time"
@@ -10,7 +9,7 @@
 
 // spans is a connection that takes time limits as spans alone, and gives a byte at a time.
 type spans struct {
-	net.Conn
+	Conn
 	limits []time.Duration
 	text   string
 }
--- /dev/null
+++ b/internal/nets/send_test.go
@@ -0,0 +1,64 @@
+package nets
+
+import (
+	"errors"
+	"syscall"
+	"testing"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// interrupted is a connection whose first writes fail for a moment; what was written waits in its buffer until a flush.
+type interrupted struct {
+	errs         []error
+	buffer, sent string
+}
+
+func (c *interrupted) flush() (err error) {
+	if len(c.errs) > 0 {
+		err, c.errs = c.errs[0], c.errs[1:]
+	}
+	if err == nil {
+		c.sent, c.buffer = c.sent+c.buffer, ""
+	}
+	return err
+}
+
+func (c *interrupted) Write(p []byte) (int, error) {
+	if len(c.errs) > 0 && errors.Is(c.errs[0], netpoll.ErrConcurrentAccess) {
+		return 0, c.flush()
+	}
+	c.buffer += string(p)
+	return len(p), c.flush()
+}
+
+func (c *interrupted) Writer() netpoll.Writer { return flusher{conn: c} }
+func (c *interrupted) IsActive() bool         { return true }
+
+type flusher struct {
+	netpoll.Writer
+	conn *interrupted
+}
+
+func (f flusher) Flush() error { return f.conn.flush() }
+
+// A message goes out once and whole, whatever fails for a moment; an error that does not pass is told.
+func TestSendOutlastsAMoment(t *testing.T) {
+	for name, c := range map[string]struct {
+		errs []error
+		sent string
+		fail error
+	}{
+		"at once":                          {nil, "pong", nil},
+		"an interrupted call":              {[]error{syscall.EINTR, syscall.EINTR}, "pong", nil},
+		"no buffer":                        {[]error{syscall.ENOBUFS}, "pong", nil},
+		"another writes":                   {[]error{netpoll.ErrConcurrentAccess, netpoll.ErrConcurrentAccess}, "pong", nil},
+		"another writes, then interrupted": {[]error{netpoll.ErrConcurrentAccess, syscall.EINTR}, "pong", nil},
+		"the other side is gone":           {[]error{syscall.EPIPE}, "", syscall.EPIPE},
+	} {
+		conn := &interrupted{errs: c.errs}
+		if _, err := Send(conn, []byte("pong")); !errors.Is(err, c.fail) || conn.sent != c.sent {
+			t.Errorf("%s: %q was sent, %v", name, conn.sent, err)
+		}
+	}
+}
--- a/internal/platform/collect/collect.go
+++ b/internal/platform/collect/collect.go
@@ -28,11 +28,9 @@
 	writeFor    = 200 * time.Millisecond
 	mostStrange = 4 << 10 // bytes of a line before joining
 	mostLine    = 1 << 20
-	perZone     = 3  // connections of a zone's collector: it comes back while its former one still seems open
-	mostPings   = 64 // answered before joining
-	spare       = 32 // connections kept for collectors, beside those they have
-	refuseTries = 5
-	refusePause = time.Millisecond
+	perZone     = 3   // connections of a zone's collector: it comes back while its former one still seems open
+	mostPings   = 64  // answered before joining
+	spare       = 32  // connections kept for collectors, beside those they have
 	logged      = 100 // lines about what was dropped; from then on only every hundredth
 )
 
@@ -193,11 +191,8 @@
 	s.turned.Add(1)
 	s.log.Debug("stranger.refused", "from", p.conn.RemoteAddr().String(), "why", why)
 	// An answer may be on its way out on the same connection: what is asked behind that would find no answer.
-	for range refuseTries {
-		if _, err := p.conn.Write(refused); err == nil || !p.conn.IsActive() {
-			break
-		}
-		time.Sleep(refusePause)
+	if _, err := nets.Send(p.conn, refused); err != nil {
+		s.log.Debug("stranger.untold", "from", p.conn.RemoteAddr().String(), "error", err)
 	}
 	p.conn.Close()
 }
@@ -286,8 +281,8 @@
 		p.asked.Store(true)
 		if p.pings++; !p.joined && p.pings > mostPings {
 			s.refuse(p, "too many signs of life were asked for")
-		} else if _, err := p.conn.Write(pong); err != nil {
-			s.refuse(p, "it does not read")
+		} else if _, err := nets.Send(p.conn, pong); err != nil {
+			s.refuse(p, "a sign of life could not be answered: "+err.Error())
 		}
 	case err == nil && m.Kind == "collector":
 		s.join(p, m.Zone)
--- a/internal/platform/uplink/uplink.go
+++ b/internal/platform/uplink/uplink.go
@@ -107,9 +107,9 @@
 	}
 	c.used = time.Now()
 	c.conn.SetWriteTimeout(writeFor)
-	if n, err := c.conn.Write(t.call.Text); err != nil {
+	if taken, err := nets.Send(c.conn, t.call.Text); err != nil {
 		c.drop()
-		if n == 0 || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		if taken == 0 || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
 			return Ended{How: outbox.Unsent, Why: err.Error()} // not a byte of it went
 		}
 		// A part went, and the rest was still being flushed when the time was over or the other side closed: the poller may have
@@ -187,7 +187,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	defer conn.Close()
 	conn.SetWriteTimeout(writeFor)
-	if _, err := fmt.Fprintf(conn, `{"jsonrpc":"2.0","id":%d,"method":"subscribe"}`+"\n", subscribed); err != nil {
+	if _, err := nets.Send(conn, fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"method":"subscribe"}`+"\n", subscribed)); err != nil {
 		return err
 	}
 	lines, taken, by := nets.NewLines(conn, mostLine), false, answerFor
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -15,9 +15,12 @@
 	repeated = 0.5
 	// easeShare is the part of the way to what fits that levels ease at each weighing. What fits is known to a tenth or
 	// two: eased by small steps alone, levels followed the lowest of what was reckoned, and not its middle.
-	easeShare = 0.25
+	easeShare = 0.5
 	// levelSteps are those in which a level is told: a smaller change is not worth a message.
 	levelSteps = 20.0
+	// burstFrom is the growth of the calls from which it is a burst. A sum over a second ripples by a fifth with reports
+	// that come each half second.
+	burstFrom = 1.25
 	// calmMemory is the half-life of the answer time while hosts have room.
 	calmMemory = 0.1
 )
@@ -31,12 +34,15 @@
 	unseen            float64 // those of these that have yet to show what they can do
 	ill               float64 // hosts that are listed and out of use
 	waiting           float64 // calls that wait at hosts, beside those in work
+	excess            float64 // calls a second that hosts past their strain have too many, beside others that have room
+	growth            float64 // of the calls that come, since hosts reported
 }
 
 // roomy says whether hosts with room to spare belie the reckoning. Reports of the others are too old to tell while
-// many have just started and nothing was heard of them since.
+// many have just started and nothing was heard of them since, and all are older than a burst that has just begun: what
+// came on top is added to them.
 func (c capability) roomy() bool {
-	return c.busyOf > 0 && c.busy < c.busyOf*idle && c.unseen <= c.usable*crowd
+	return c.busyOf > 0 && c.busy*max(1, c.growth) < c.busyOf*idle && c.unseen <= c.usable*crowd
 }
 
 // measure sums up the hosts.
@@ -56,6 +62,7 @@
 		c.able, c.tried, c.lost = c.able+s.able, c.tried+s.flow, c.lost+s.loss*s.flow
 		if s.busy > 0 {
 			c.busy, c.busyOf = c.busy+s.busy*s.able, c.busyOf+s.able
+			c.excess += s.flow * max(0, 1-strain/s.busy)
 		}
 		c.waiting += max(0, s.spent-waitsFrom*g.calmSpent) / 1000 * s.flow * (1 - s.loss)
 	}
@@ -75,7 +82,24 @@
 // calls is the rate at which a route's calls come, with those that are made again.
 func (g *gate) calls(r RouteID) float64 { return g.asked[r].rate(g.now, gateMemory, 0) }
 
-// arrivals is the same without those that are made again for want of an answer.
+// come is the rate at which calls of all routes come, with those that are made again.
+func (g *gate) come() (sum float64) {
+	for r := range g.asked {
+		sum += g.calls(RouteID(r))
+	}
+	return sum
+}
+
+// growth is the rate at which calls come over that of the last seconds, 1 where that may be a ripple of the reports.
+func (g *gate) growth() float64 {
+	lately := g.lasting.rate(g.now, demandMemory, g.heardSince-g.rules.reportEvery)
+	if growth := g.come() / max(lately, 0.1); growth > burstFrom {
+		return growth
+	}
+	return 1
+}
+
+// arrivals is the rate of a route's calls, without those that are made again for want of an answer.
 func (g *gate) arrivals(r RouteID) float64 {
 	return max(0, g.calls(r)-repeated*g.unanswered[r].rate(g.now, gateMemory, 0))
 }
@@ -87,13 +111,12 @@
 // route's calls come again and tell nothing of how many there are; the most important's do. But there are no more than
 // come: the mix of routes may have been learnt from the first few calls after a start.
 func (g *gate) estimateDemand() (all, usual float64) {
-	come := 0.0 // with all that is made again
+	come := g.come()
 	for r := range g.usual {
 		if !g.throttles() {
 			g.usual[r] = g.arrivals(RouteID(r))
 		}
 		usual += g.usual[r]
-		come += g.calls(RouteID(r))
 	}
 	for _, lead := range slices.Backward(g.rules.cheap) {
 		if g.usual[lead] > 0 {
@@ -107,6 +130,7 @@
 // Tries would not do: they end late, and those of a jam would throttle what comes after it.
 func (g *gate) weigh() {
 	c := g.measure()
+	c.growth = g.growth()
 	all, usual := g.estimateDemand()
 	around := fleet{pressure: c.tried / max(c.able, 0.1), loss: c.lost / max(c.tried, 0.1),
 		busy: c.busy / max(c.busyOf, 0.1), typicalLoss: g.typicalLoss(), out: c.ill / max(c.ill+c.usable, 1)}
@@ -136,13 +160,11 @@
 // wanted in the first place let in twice what hosts can do once calls are lost or turned away and made again, and the
 // losses kept it so.
 func (g *gate) steer(c capability) {
-	come := 0.0
-	for _, r := range g.rules.cheap {
-		come += g.calls(r)
-	}
-	fits := strain * c.able
+	come := g.come()
+	// What some hosts have too many can't be done by others' room before tables change.
+	fits := strain*c.able - c.excess
 	if c.roomy() {
-		fits = max(fits, come)
+		fits = max(fits, g.eases(c, come))
 	}
 	// What waits is worked off within the time that the most pressing route wants its answers in, also where it waits
 	// at a few hosts only: what is let in leaves room for it.
@@ -156,6 +178,19 @@
 	g.level = max(levelLow, min(want, g.level+ease))
 }
 
+// eases is what may be let in while hosts have room to spare: all, or, where calls are turned away, more than now by as
+// much as hosts have room. All at once would be a burst.
+func (g *gate) eases(c capability, come float64) float64 {
+	if !g.throttles() || len(g.told.level) == 0 || g.rules.levels != LevelShare {
+		return come
+	}
+	letIn := 0.0
+	for r, level := range g.told.level {
+		letIn += level * g.calls(RouteID(r))
+	}
+	return letIn * idle * c.busyOf / c.busy
+}
+
 // levels are the orders that follow from the level. A further try adds work just where there is too much.
 func (g *gate) levels(strained bool) levelled {
 	top := float64(len(g.rules.cheap))
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -50,3 +50,43 @@
 		t.Errorf("%.0f calls a second are let in where hosts can do %.0f", letIn, able)
 	}
 }
+
+// Levels ease to what hosts have room for, not at once to all that come: that was the next burst.
+func TestLevelsEaseByTheRoomOfHosts(t *testing.T) {
+	const able, busyShare, level = 200.0, 0.5, 0.3
+	g := New(1, Facts{Slices: 1, ReportEvery: 500, Levels: LevelShare, Routes: []Route{{SLO: 1000}}}).gate
+	g.now = 10000
+	g.usual = []float64{100}
+	g.asked[0].add(g.now, gateMemory, 1000)
+	g.level, g.told.level = level, []float64{level}
+	before := level * g.calls(0)
+	g.steer(capability{able: able, busy: able * busyShare, busyOf: able})
+	after := g.level * g.calls(0)
+	if most := before * idle / busyShare; after > most+0.001 || after <= before {
+		t.Errorf("%.0f calls a second are let in after %.0f, at hosts half idle: more than before and at most %.0f were expected", after, before, most)
+	}
+}
+
+// Busy shares are older than a burst that has just begun: hosts that had room are not roomy for twice the calls.
+func TestBusySharesAreOlderThanABurst(t *testing.T) {
+	calm := capability{busy: 50, busyOf: 100, usable: 1, growth: 1}
+	burst := calm
+	burst.growth = 2
+	if !calm.roomy() || burst.roomy() {
+		t.Errorf("roomy in calm %v, in a burst %v", calm.roomy(), burst.roomy())
+	}
+}
+
+// What full hosts have too many can't be done by others' room: less is let in than where all are as busy.
+func TestFullHostsHaveNoRoomOfOthers(t *testing.T) {
+	excess := func(busy ...float64) float64 {
+		g := New(1, Facts{Slices: 1, ReportEvery: 500, Routes: []Route{{SLO: 1000}}}).gate
+		for id, share := range busy {
+			g.seats.put(HostID(id+1), standing{usable: true, prior: 1, able: 100, flow: 100 * share, busy: share})
+		}
+		return g.measure().excess
+	}
+	if even, uneven := excess(0.75, 0.75), excess(1, 0.5); even != 0 || uneven < 19 {
+		t.Errorf("%.1f calls a second too many at hosts that are as busy as each other, %.1f where one is full", even, uneven)
+	}
+}
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -107,6 +107,8 @@
 		g.seats.put(n.id, n)
 	case Heat:
 		if int(n.Route) < len(g.asked) {
+			since(&g.heardSince, true, g.now)
+			g.lasting.add(g.now, demandMemory, float64(n.Calls))
 			g.asked[n.Route].add(g.now, gateMemory, float64(n.Calls))
 			g.unanswered[n.Route].add(g.now, gateMemory, float64(n.Lost))
 		}
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -213,6 +213,9 @@
 	place *placer
 	seats shelf[HostID, standing]
 	asked []sum
+	// lasting are the calls of all routes over the last seconds, heardSince when the first were heard of.
+	lasting    sum
+	heardSince Millis
 	// unanswered are calls that were let in and got no answer, by route.
 	unanswered []sum
 	usual      []float64 // calls a second by route when none was throttled
