--- a/logic/admission.go
+++ b/logic/admission.go
@@ -34,7 +34,6 @@
 	unseen            float64 // those of these that have yet to show what they can do
 	ill               float64 // hosts that are listed and out of use
 	waiting           float64 // calls that wait at hosts, beside those in work
-	excess            float64 // calls a second that hosts past their strain have too many, beside others that have room
 	growth            float64 // of the calls that come, since hosts reported
 }
 
@@ -62,7 +61,6 @@
 		c.able, c.tried, c.lost = c.able+s.able, c.tried+s.flow, c.lost+s.loss*s.flow
 		if s.busy > 0 {
 			c.busy, c.busyOf = c.busy+s.busy*s.able, c.busyOf+s.able
-			c.excess += s.flow * max(0, 1-strain/s.busy)
 		}
 		c.waiting += max(0, s.spent-waitsFrom*g.calmSpent) / 1000 * s.flow * (1 - s.loss)
 	}
@@ -161,14 +159,15 @@
 // losses kept it so.
 func (g *gate) steer(c capability) {
 	come := g.come()
-	// What some hosts have too many can't be done by others' room before tables change.
-	fits := strain*c.able - c.excess
+	fits := strain * c.able
 	if c.roomy() {
 		fits = max(fits, g.eases(c, come))
 	}
 	// What waits is worked off within the time that the most pressing route wants its answers in, also where it waits
-	// at a few hosts only: what is let in leaves room for it.
-	fits = max(0, fits-c.waiting*1000/float64(max(1, g.rules.slo)))
+	// at a few hosts only. What strain leaves free serves for that first: answer times tell of what waited seconds ago,
+	// and all of it taken off let in half of what hosts could do long after they had room.
+	worksOff := c.waiting * 1000 / float64(max(1, g.rules.slo))
+	fits = max(0, min(fits, fits/strain-worksOff))
 	want, excess := float64(len(g.rules.cheap)), come-fits
 	for _, r := range g.rules.cheap {
 		cut := min(1, max(0, excess)/max(g.calls(r), 0.001))
@@ -188,7 +187,7 @@
 	for r, level := range g.told.level {
 		letIn += level * g.calls(RouteID(r))
 	}
-	return letIn * idle * c.busyOf / c.busy
+	return letIn * strain * c.busyOf / c.busy
 }
 
 // levels are the orders that follow from the level. A further try adds work just where there is too much.
