--- a/internal/platform/burst_test.go
+++ b/internal/platform/burst_test.go
@@ -30,6 +30,7 @@
 	listen := f.startDirector()
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
+	go f.watchItself(ctx)
 	go f.report(ctx, listen)
 	go f.demandCalls(ctx)
 	time.Sleep(calmFor)
@@ -45,7 +46,10 @@
 	during := f.outcomes()
 	time.Sleep(callDue + calmFor)
 	met, steady, after := seen.since(calm), during.since(seen), f.outcomes().since(during)
-	t.Logf("calm %+v, burst met %+v, during %+v, after %+v", calm, met, steady, after)
+	f.mu.Lock()
+	stalled := f.stalled
+	f.mu.Unlock()
+	t.Logf("calm %+v, burst met %+v, during %+v, after %+v; the test's own process stalled for %v", calm, met, steady, after, stalled)
 	if late := steady.late + steady.unanswered; late*10 > steady.all() {
 		t.Errorf("%d of %d calls were answered late or not at all, %v after a burst began", late, steady.all(), burstSeen)
 	}
--- a/internal/platform/rollout_test.go
+++ b/internal/platform/rollout_test.go
@@ -77,6 +77,8 @@
 	ended outcomes
 	// repeats is how often a caller makes a call again that was turned away.
 	repeats int
+	// stalled is for how long this process, with its callers and hosts, did not run when it should have.
+	stalled time.Duration
 	// noServer are calls turned away because their table offered no host; the others were by levels or by full hosts.
 	noServer int
 }
@@ -273,6 +275,23 @@
 	}
 }
 
+const (
+	beatEvery = 20 * time.Millisecond
+	beatLate  = 100 * time.Millisecond // from there on callers and hosts of this process are late by themselves
+)
+
+// watchItself sums up for how long this process was kept from running: what that made late is no fault of the director.
+func (f *fleet) watchItself(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+		time.Sleep(beatEvery)
+		if late := time.Since(last) - beatEvery; late > beatLate {
+			f.mu.Lock()
+			f.stalled += late
+			f.mu.Unlock()
+		}
+	}
+}
+
 // report forwards what callers met, as a collector does: it connects anew when the director has gone.
 func (f *fleet) report(ctx context.Context, listen string) {
 	for ctx.Err() == nil {
@@ -365,6 +384,7 @@
 	listen := f.startDirector()
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
+	go f.watchItself(ctx)
 	go f.report(ctx, listen)
 	go f.demandCalls(ctx)
 	time.Sleep(3 * time.Second)
@@ -380,8 +400,11 @@
 	time.Sleep(callDue + staleAfter)
 	ended := f.outcomes()
 	all := ended.all()
-	t.Logf("%d calls, %d late, %d not answered at all, %d refused (%d had no server); at most %d lines of hosts long gone, %d at the end",
-		all, ended.late, ended.unanswered, ended.refused, f.noServer, mostStale, len(f.stale()))
+	f.mu.Lock()
+	stalled := f.stalled
+	f.mu.Unlock()
+	t.Logf("%d calls, %d late, %d not answered at all, %d refused (%d had no server); at most %d lines of hosts long gone, %d at the end; "+
+		"the test's own process stalled for %v", all, ended.late, ended.unanswered, ended.refused, f.noServer, mostStale, len(f.stale()), stalled)
 	if ended.unanswered*200 > all {
 		t.Errorf("%d of %d calls had no answer", ended.unanswered, all)
 	}
