--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -125,7 +125,6 @@
 	if err != nil {
 		return nil, &Invalid{Where: "settings", Why: err.Error()}
 	}
-	f.DrainSlack = drainSlack
 	s.Facts, s.Names, s.Resolution = f, codec.NewNames(f, n), max(1, n.Resolution)
 	if len(n.Zones) == 0 || len(f.Routes) == 0 {
 		return nil, &Invalid{Where: "settings", Why: "no zones or no routes"}
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -6,7 +6,6 @@
 	"runtime/debug"
 
 	"vetchwood/internal/budget"
-	"vetchwood/logic"
 )
 
 // beside is what a process holds that Go's memory limit doesn't count: its text and what the kernel keeps for it.
@@ -27,6 +26,3 @@
 	}
 	return means
 }
-
-// drainSlack is by how much later than the settings say the platform judges drains, by its protocol.
-const drainSlack logic.Millis = 300
--- a/logic/api.go
+++ b/logic/api.go
@@ -75,7 +75,6 @@
 	AskWithin                          Millis
 	ColdFrom, TipMultiple              float64
 	WarmAfter, FallAfter, DrainGrace   Millis
-	DrainSlack                         Millis // by which drains are judged later than the grace says
 	FullMayHaveRun, GoneIsAdvice       bool
 	Weighted                           bool
 	LoadColumns                        []string
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -76,7 +76,7 @@
 		b.hurry = max(b.hurry, min(b.span/Millis(b.messages), (f.DrainGrace-f.WorstTransit)/2))
 	}
 	b.heardAfter = f.WorstTransit + Millis(b.queue/b.pace) + reportsOfDelay*b.reportEvery
-	b.outWithin = (f.DrainGrace+f.DrainSlack)*graceShare - f.WorstTransit - beat
+	b.outWithin = f.DrainGrace*graceShare - f.WorstTransit - beat
 	for i, r := range f.Routes {
 		// One that may take effect twice is tried again only after proof that it never ran.
 		b.ways = append(b.ways, 1+int(bit(r.Repeat == Repeatable, 0)))
