Nothing is written while a part of the present state alone is known

Now it waits until nothing of the present state came for 200 ms, or anything else did (a sign of life, each second, at the latest): news.Book.Telling. TestThePresentStateIsToldWholeBeforeAnythingFollows.

--- a/internal/platform/news/news.go
+++ b/internal/platform/news/news.go
@@ -16,6 +16,10 @@
 // the network may deliver them in pieces. A line that comes later still tells the slice anew.
 const gatherFor logic.Millis = 25
 
+// presentQuiet is the pause in the present state after which it counts as told. What is told of it in pieces is a part of
+// the fleet: orders reckoned for that part go to all proxies, and fill the channel past its limit.
+const presentQuiet logic.Millis = 200
+
 type table = map[logic.HostID]float64
 
 type slice struct {
@@ -33,8 +37,9 @@
 	proxies map[logic.ProxyID]logic.Joined
 	slices  map[logic.TableID]*slice
 
-	present    bool // the present state is being told
-	continuous bool // nothing can have been missed before it
+	present    bool         // the present state is being told
+	toldAt     logic.Millis // when the last of it came; 0: nothing did yet
+	continuous bool         // nothing can have been missed before it
 	seen       map[logic.ProxyID]bool
 	given      map[logic.TableID]bool
 	gathering  map[logic.TableID]bool // slices that are being given: all others cost nothing when news come
@@ -53,7 +58,7 @@
 // Begin says that a subscription was taken and that the present state follows. Continuous: the one before it carried all news up
 // to now, so that nobody left and came back unseen.
 func (b *Book) Begin(continuous bool) {
-	b.present, b.continuous = true, continuous
+	b.present, b.continuous, b.toldAt = true, continuous, 0
 	b.seen, b.given = map[logic.ProxyID]bool{}, map[logic.TableID]bool{}
 	for _, s := range b.slices {
 		s.touched, s.gathered = false, nil
@@ -63,6 +68,9 @@
 
 // Take takes one piece of news and gives the notes that follow from it and from what was gathered before it.
 func (b *Book) Take(now logic.Millis, in codec.News) (notes []any) {
+	if b.present {
+		b.toldAt = now
+	}
 	if held, is := in.Note.(logic.OnRecord); is {
 		return b.held(now, held)
 	}
@@ -153,6 +161,15 @@
 	return notes
 }
 
+// Telling says until when a part of the present state alone may be known; 0: it was told whole. Whatever else comes ends
+// it, a sign of life at the latest.
+func (b *Book) Telling(now logic.Millis) (until logic.Millis) {
+	if !b.present || b.toldAt == 0 || now >= b.toldAt+presentQuiet {
+		return 0
+	}
+	return b.toldAt + presentQuiet
+}
+
 // Gathering says until when lines of a given slice are waited for; 0: none is being given.
 func (b *Book) Gathering() (until logic.Millis) {
 	for t := range b.gathering {
--- a/internal/platform/news/news_test.go
+++ b/internal/platform/news/news_test.go
@@ -127,3 +127,27 @@
 func TestStrayNewsIsNoNote(t *testing.T) {
 	expect(t, say(begun(t), 10, "l9 a9 t9 h9.1 j2 l2 l2"), "l2 j2 l2")
 }
+
+// Until the present state is whole, what is known is a part of the fleet. Found on zone+mass (issue 34): a director that came
+// out of a cut reckoned 378 orders for the 897 proxies told so far; they went to 2,424, and 641,311 lines waited where 532,500 may.
+func TestThePresentStateIsToldWholeBeforeAnythingFollows(t *testing.T) {
+	b := New()
+	telling := func(now logic.Millis, want bool) {
+		t.Helper()
+		if got := b.Telling(now) > 0; got != want {
+			t.Errorf("telling at %v: %v", now, got)
+		}
+	}
+	telling(1000, false)
+	b.Begin(false)
+	telling(1000, false) // nothing came: what was known before holds
+	say(b, 1000, "J1 j2")
+	telling(1000+presentQuiet-1, true)
+	say(b, 1000+presentQuiet-1, "j3 g1 h1.5")
+	telling(1000+2*presentQuiet-2, true)
+	telling(1000+2*presentQuiet, false) // a pause
+	say(b, 1000+2*presentQuiet, "j4")
+	telling(1000+2*presentQuiet, true)
+	say(b, 1000+2*presentQuiet, "p")
+	telling(1000+2*presentQuiet, false) // a sign of life comes behind it
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -206,6 +206,9 @@
 }
 
 func (d *director) wakeAfter() time.Duration {
+	if until := d.book.Telling(d.Now()); until > 0 {
+		return d.Until(until)
+	}
 	next, some := d.timers.next()
 	if until := d.book.Gathering(); until > 0 && (!some || until < next) {
 		next, some = until, true
@@ -224,6 +227,10 @@
 		d.take(now, x)
 	}
 	d.notes = append(d.notes, d.book.Gathered(now, false)...)
+	if d.book.Telling(now) > 0 { // the module would take a part of the fleet for all of it
+		d.call()
+		return
+	}
 	for _, t := range d.timers.due(now) {
 		d.notes = append(d.notes, logic.Due{Timer: t})
 	}
