A message leaves room for proxies that left a moment ago and may be back unheard

Ruled out: a cut of the way (news of controller 0 went on), an unsure call. flight.book now also keeps lines times all who left within 30 s under the limit (publisher.expectReturns).

--- a/logic/channel.go
+++ b/logic/channel.go
@@ -19,13 +19,32 @@
 	if f.filled+more > f.queue*part || f.unowned+more > f.queue*surePart {
 		return false
 	}
-	f.filled, f.unowned = f.filled+more, f.unowned+more
+	back := f.returned + lines*f.returning
+	if f.returning > 0 && f.filled+more+back > f.queue*surePart {
+		return false
+	}
+	f.filled, f.unowned, f.returned = f.filled+more, f.unowned+more, back
 	for _, n := range users {
 		f.left.put(n, f.left.get(n)+lines)
 	}
 	return true
 }
 
+// returnWithin is for how long a proxy that left is expected back at any moment.
+const returnWithin = Millis(30000)
+
+// expectReturns has a message leave room for proxies that left lately: where a cut ends they come back by the hundred, and
+// what is written goes to all that are back, of whom we hear a moment later.
+func (p *publisher) expectReturns(f *flight) {
+	if !p.rules.sliced {
+		return
+	}
+	for _, left := range p.leftAt.all() {
+		f.returning += float64(bit(p.now-left < returnWithin, 0))
+	}
+	f.returned = f.returning * f.each
+}
+
 // seal adds the heads and gives all lines of the messages.
 func (f *flight) seal() float64 {
 	for n, lines := range f.left.all() {
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -245,6 +245,8 @@
 	streams             *shelf[ProxyID, *stream]
 	each, queue, filled float64
 	unowned             float64 // what proxies have not owned up to, with this
+	returning           float64 // proxies that left a moment ago, and may be back before we hear of it
+	returned            float64 // lines that this message would bring those
 	second              bool    // of a reply that was written again, and may be in the channel twice
 	written             Millis  // when that was
 	doubt               Millis  // since when it may not have reached the channel; 0: it did
@@ -274,5 +276,6 @@
 	masked            shelf[HostID, bool]    // the same as last written, where that is known
 	maskedAt          shelf[HostID, Millis]  // when that was written
 	away              shelf[ProxyID, Millis] // proxies that left, and from when on they may have missed what was written
+	leftAt            shelf[ProxyID, Millis] // when they left
 	shut              shelf[TableID, Millis] // single owners: no writes until the former owner's are settled
 }
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -70,6 +70,7 @@
 		from = p.away.get(n.Proxy)
 	}
 	p.away.drop(n.Proxy)
+	p.leftAt.drop(n.Proxy)
 	return from
 }
 
@@ -83,6 +84,7 @@
 		f.left.drop(n.Proxy)
 	}
 	p.away.put(n.Proxy, from)
+	p.leftAt.put(n.Proxy, p.now)
 	p.streams.drop(n.Proxy)
 	p.unsettle()
 }
@@ -143,6 +145,7 @@
 	heads := float64(p.streams.len()) * cost.each
 	cost.filled, cost.unowned = p.waiting()
 	cost.filled, cost.unowned = cost.filled+heads, cost.unowned+heads
+	p.expectReturns(cost)
 	using := func(t TableID) func(*stream) bool {
 		return func(s *stream) bool { return p.rules.sliced || s.bound && s.table == t || t >= zoneTables }
 	}
