--- a/internal/platform/burst_test.go
+++ b/internal/platform/burst_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"testing"
 	"time"
 )
@@ -21,18 +20,11 @@
 // Issue 34, its two reports.
 func TestBurstIsAnsweredInTime(t *testing.T) {
 	t.Parallel()
-	demand := make([]float64, fleetSlices)
-	for i := range demand {
-		demand[i] = 1 / math.Sqrt(1+float64(i*7%fleetSlices))
-	}
-	f := newFleet(t, demand)
+	f := newFleet(t)
 	f.repeats = 2
-	listen := f.startDirector()
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	go f.watchItself(ctx)
-	go f.report(ctx, listen)
-	go f.demandCalls(ctx)
+	f.begin(ctx)
 	time.Sleep(calmFor)
 	calm := f.outcomes()
 	burst, over := context.WithTimeout(ctx, burstFor)
--- a/internal/platform/rollout_test.go
+++ b/internal/platform/rollout_test.go
@@ -99,7 +99,11 @@
 		o.unanswered - before.unanswered}
 }
 
-func newFleet(t *testing.T, demand []float64) *fleet {
+func newFleet(t *testing.T) *fleet {
+	demand := make([]float64, fleetSlices)
+	for i := range demand {
+		demand[i] = 1 / math.Sqrt(1+float64(i*7%fleetSlices)) // a few slices have several times the calls of others
+	}
 	f := &fleet{t: t, relay: newRelay(t), agent: newAgent(t), log: &logged{}, hosts: map[string]*standin.Host{}, gone: map[string]time.Time{},
 		tries: map[string]*tried{}, calls: map[int]int{}, demand: pick.NewAlias(demand),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
@@ -154,6 +158,14 @@
 	return listen
 }
 
+// begin starts the director, its collector and the callers of the usual demand.
+func (f *fleet) begin(ctx context.Context) {
+	listen := f.startDirector()
+	go f.watchItself(ctx)
+	go f.report(ctx, listen)
+	go f.demandCalls(ctx)
+}
+
 func (f *fleet) startProcess() {
 	f.process = exec.Command(os.Args[0])
 	f.process.Env = append(os.Environ(), directorProcess+"=1", "GW_CONFIG="+f.config)
@@ -376,17 +388,10 @@
 
 // rollout replaces hosts and judges what callers met. The director is killed as that replacement begins.
 func rollout(t *testing.T, killedAt int) {
-	demand := make([]float64, fleetSlices)
-	for i := range demand {
-		demand[i] = 1 / math.Sqrt(1+float64(i*7%fleetSlices)) // a few slices have several times the calls of others
-	}
-	f := newFleet(t, demand)
-	listen := f.startDirector()
+	f := newFleet(t)
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	go f.watchItself(ctx)
-	go f.report(ctx, listen)
-	go f.demandCalls(ctx)
+	f.begin(ctx)
 	time.Sleep(3 * time.Second)
 	mostStale := 0
 	for n := range 3 * fleetHosts / 2 {
