--- a/internal/longpoll/longpoll_test.go
+++ b/internal/longpoll/longpoll_test.go
@@ -178,7 +178,7 @@
 		}
 		if !strings.HasPrefix(out, "HTTP/1.1 "+c.status+"\r\n") {
 			d.mu.Lock()
-			t.Errorf("%s: %q; the core was told of %+v, of the ends of %v", c.name, out, d.polls, d.broke) // KNOWN-RED.txt: not yet traced
+			t.Errorf("%s: %q; the core was told of %+v, of the ends of %v", c.name, out, d.polls, d.broke)
 			d.mu.Unlock()
 		}
 		for _, s := range c.says {
