Rollouts: a restart plans less anew, messages are filled, and no line of a host long gone stays

Change: Director.vouch, placer.awaitsList, demandKnown, showsRoom; a draft of a message in a file of its own, cut from flush, with tables that named a host that is out for 5 s first. Tests that were there are unchanged.

--- /dev/null
+++ b/logic/draft.go
@@ -0,0 +1,115 @@
+package logic
+
+import "slices"
+
+// A message in the making: what of all that is wanted goes into it, within what the channel has room for.
+
+// draft is a message that is being filled.
+type draft struct {
+	*publisher
+	cost *flight
+}
+
+func (p *publisher) newDraft() *draft {
+	f := &flight{streams: &p.streams, each: p.rules.head + 1, queue: p.rules.queue}
+	heads := float64(p.streams.len()) * f.each
+	f.filled, f.unowned = p.waiting()
+	f.filled, f.unowned = f.filled+heads, f.unowned+heads
+	p.expectReturns(f)
+	return &draft{p, f}
+}
+
+func everyStream(*stream) bool { return true }
+
+// using says which streams hold a table.
+func (d *draft) using(t TableID) func(*stream) bool {
+	return func(s *stream) bool { return d.rules.sliced || s.bound && s.table == t || t >= zoneTables }
+}
+
+// writeMasks writes the masks of a kind that are not as they should be, but for some.
+func (d *draft) writeMasks(open opening, but func(HostID) bool) {
+	for _, id := range d.ajar(open) {
+		if !but(id) && d.cost.book(urgentPart, 1, everyStream) {
+			d.order(Mask{id, open != opened})
+			d.setMask(id, open != opened)
+		}
+	}
+}
+
+// writeBareTables writes the tables that have nothing to offer, those that have waited for longest first.
+func (d *draft) writeBareTables() {
+	for _, w := range d.wantedBy(true, func(w wanted) float64 { return -float64(w.at) }) {
+		d.write(w, d.nextStep(w, false), urgentPart)
+	}
+}
+
+// writeOverdueTables writes tables that have named a host for long that is out. Of a table of many parts, each of which
+// changes with the others, the lines of such hosts go alone where the whole does not fit.
+func (d *draft) writeOverdueTables() {
+	part := d.ordinaryShare()
+	for _, w := range d.wantedBy(false, d.urgency) {
+		if d.outFor(w) > overdueAfter && !d.write(w, w.lines, part) {
+			d.write(w, d.withoutHostsOut(w), part)
+		}
+	}
+}
+
+// writeTables writes the tables that can wait, by what they are worth.
+func (d *draft) writeTables() {
+	part := d.ordinaryShare()
+	whole := d.fitsWhole(d.cost, part)
+	for _, w := range d.wantedBy(false, d.urgency) {
+		lines := w.lines
+		if !whole && (w.urgent || d.outFor(w) <= wholeAfter) {
+			lines = d.nextStep(w, true)
+		}
+		d.write(w, lines, part)
+	}
+}
+
+func (d *draft) urgency(w wanted) float64 { return w.priority(d.now) }
+
+// write puts the lines that a table is to hold next into the message, if that part of the queue has room for them. A
+// table that has none does not hold up those behind it: a smaller one may fit.
+func (d *draft) write(w wanted, next lines, part float64) (written bool) {
+	t, changes := w.table, d.changes(w.table, next)
+	if !d.cost.book(part, float64(len(changes)), d.using(t)) {
+		return false
+	}
+	d.out = append(d.out, changes...)
+	if d.stands.put(t, next); slices.Equal(next, w.lines) {
+		d.wants.drop(t)
+	} else if len(changes) > 0 {
+		w.at, w.urgent = d.now, false // its calls go where they should: the rest can wait
+		d.wants.put(t, w)
+	}
+	d.post(d.place, laid{t, next})
+	for _, l := range next {
+		if slices.Contains(changes, Order(Mask{l.host, false})) {
+			d.setMask(l.host, false)
+		}
+	}
+	if d.rules.oneOwner {
+		d.shut.put(t, d.now+d.rules.settle)
+	}
+	return true
+}
+
+// bindStreams binds streams to the tables that they want, at sites without slices.
+func (d *draft) bindStreams() {
+	for n, s := range d.streams.all() {
+		zone := zoneTables + TableID(s.zone)
+		lines := 2 + float64(len(d.stands.get(s.wants))+len(d.stands.get(zone)))
+		if d.rules.sliced || s.bound && s.wants == s.table || !d.stands.has(s.wants) ||
+			!d.cost.book(barePart, lines, func(x *stream) bool { return x == s }) {
+			continue
+		}
+		if own := d.rules.ownZone; own != 0 && !s.bound {
+			d.order(Bind{n, zone, own})
+		}
+		if rest := d.rules.everyRoute &^ d.rules.ownZone; rest != 0 {
+			d.order(Bind{n, s.wants, rest})
+		}
+		s.table, s.bound = s.wants, true
+	}
+}
--- a/logic/health.go
+++ b/logic/health.go
@@ -17,9 +17,10 @@
 	// mostOut is the part of the hosts that may be out for failing. Beyond it one that still answers stays: the rest
 	// would have to bear its calls, too.
 	mostOut        = 0.2
-	losesAll       = 0.97 // of its tries: it answers nothing to speak of
-	answersInFull  = 0.5  // answers lately that show a host at full work to be overloaded, not sick
-	reportsOfDelay = 2    // periods of reports until what came to a host is heard of
+	losesAll       = 0.97    // of its tries: it answers nothing to speak of
+	answersInFull  = 0.5     // answers lately that show a host at full work to be overloaded, not sick
+	vouchFor       = failFor // within which a host that standing tables name has to answer after a start
+	reportsOfDelay = 2       // periods of reports until what came to a host is heard of
 
 	// A removed host is tried again with few calls. What it makes of them adds up for as long as the trial lasts:
 	// the calls of a few standby lines may be less than one a second, and a sum that decays as fast as that of a
--- a/logic/host.go
+++ b/logic/host.go
@@ -83,15 +83,18 @@
 	h.press.add(h.now, loadMemory, press)
 }
 
+// untried says whether a host must not be used yet: it has answered nothing, and no standing table vouches for it.
+func (h *host) untried() bool { return h.unproven && h.now >= h.vouchedUntil }
+
 func (h *host) tell() {
 	ended, listed := h.ended.read(h.now, h.rules.health), h.known && h.entry.State == Up
 	s := standing{id: h.id, from: h, zone: h.entry.Zone, cell: h.entry.Cell, fresh: h.now < h.freshUntil,
 		grown: 1 - (1-h.rules.freshRoom)*float64(max(0, h.freshUntil-h.now)/freshFor), prior: 1,
 		flow: min(h.flow, 2*ended), busy: h.busy, void: h.void, due: h.due + h.rising,
 		loss: h.lost.read(h.now, h.rules.health) / max(ended, 0.1), cold: h.now < h.coldUntil,
-		rests: h.now < h.restUntil, unproven: listed && h.unproven}
+		rests: h.now < h.restUntil, unproven: listed && h.untried()}
 	s.spent = h.spent.read(h.now, h.rules.health) / max(0.1, ended*(1-s.loss))
-	up := listed && !h.unproven
+	up := listed && !h.untried()
 	if h.rules.advice && h.known && h.entry.State == Gone {
 		up = ended > 0.5 && s.loss < 0.5 // the list may be wrong there: a host that answers well stays
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -111,6 +111,7 @@
 	if !d.ticking {
 		d.ticking = true
 		d.order(After{beat, 0})
+		d.place.listBy = now + listWithin
 	}
 	if d.rules.asks && !d.follows && now >= d.askAgain {
 		d.follows = true
@@ -123,6 +124,7 @@
 	// The store's lines come one by one behind their custody, so they are whole only here.
 	for t, held := range d.stored.all() {
 		d.unlist(held)
+		d.vouch(held)
 		d.post(d.place, kept{t, held})
 		d.post(d.publish, kept{t, held})
 		d.stored.drop(t)
@@ -145,7 +147,7 @@
 		return
 	}
 	d.restamped(r)
-	named := map[HostID]bool{}
+	named, standing := map[HostID]bool{}, d.publish.named()
 	for _, e := range r.Entries {
 		named[e.Host] = true
 		if !d.hosts.has(e.Host) {
@@ -153,6 +155,9 @@
 			h := d.meet(e.Host)
 			h.unproven = d.rules.probes && r.Kind != FromDisk
 			h.followed = d.told
+			if standing[e.Host] {
+				h.vouchedUntil = d.now + vouchFor
+			}
 		}
 		d.post(d.hosts.get(e.Host), e)
 	}
@@ -162,7 +167,7 @@
 		}
 	}
 	if r.Kind != FromDisk && !d.told {
-		d.told = true
+		d.told, d.place.listBy, d.place.dirty = true, 0, true
 		for _, held := range d.publish.stands.all() {
 			d.unlist(held)
 		}
@@ -186,3 +191,13 @@
 		}
 	}
 }
+
+// vouch takes the hosts of the store's lines for proven until they answer: an earlier director wrote them. Taken for
+// unproven, each of them lost all its slices by a restart.
+func (d *Director) vouch(held lines) {
+	for _, l := range held {
+		if h := d.hosts.get(l.host); h != nil {
+			h.vouchedUntil = d.now + vouchFor
+		}
+	}
+}
--- a/logic/observe.go
+++ b/logic/observe.go
@@ -165,7 +165,7 @@
 		return Unlisted
 	case h.entry.State != Up:
 		return Drained
-	case h.unproven:
+	case h.untried():
 		return Unproven
 	case h.state == removed:
 		return Removed
--- a/logic/parts.go
+++ b/logic/parts.go
@@ -133,6 +133,7 @@
 	trial                   trial
 	unlistedAt              Millis // when the list dropped it; 0: it is listed
 	unproven                bool   // it has yet to answer anything
+	vouchedUntil            Millis // until when it is used all the same
 	followed                bool   // a list came before the one that told of it first
 	shown                   Condition
 	probeAt, probeEvery     Millis
@@ -203,6 +204,7 @@
 	total, mean     float64 // demand of all own slices, and of one
 	dirty           bool
 	around          fleet
+	listBy          Millis // until when the first list after the start is waited for; 0: it is not
 }
 
 // gate throttles the least important calls when the fleet can't do all, and says when to try again.
--- a/logic/placement.go
+++ b/logic/placement.go
@@ -22,6 +22,9 @@
 }
 
 func (p *placer) settle() {
+	if p.listBy > 0 && p.now >= p.listBy {
+		p.listBy, p.dirty = 0, true
+	}
 	up, ill, resting := 0, 0, 0
 	for _, s := range p.seats.all() {
 		up += int(bit(s.usable || s.ill, 0))
@@ -188,6 +191,10 @@
 	p.lay(false)
 }
 
+// demandKnown says whether reports have told for long enough what slices weigh. Until then all are taken for equal: after
+// a restart hosts that had just started lost slices that they bore well.
+func (p *placer) demandKnown() bool { return p.firstHeat > 0 && p.now-p.firstHeat > demandMemory }
+
 // loosen frees the parts that must move. Fitting leaves stay, the heaviest first, so that few move; with
 // onlyMust, a host that is merely too full keeps what it has, a cold one keeps what it has room for.
 func (p *placer) loosen(onlyMust bool) {
@@ -201,13 +208,18 @@
 		}
 		for _, l := range pc.parts {
 			s, load := p.seats.get(l.host), l.weight*pc.weight
+			if p.awaitsList(l.host) {
+				pc.free -= l.weight
+				stay = append(stay, l)
+				continue
+			}
 			if s == nil || !s.in {
 				if next := p.successor(pc, load); next != nil {
 					// Its calls go there already, and find keys warm: a move now would cost both again.
 					s, l.host = next, next.id
 				}
 			}
-			if s == nil || !s.in || (!onlyMust || s.fresh) && s.load+load > s.bears {
+			if s == nil || !s.in || (!onlyMust || s.fresh && p.demandKnown()) && s.load+load > s.bears {
 				continue
 			}
 			s.load += load
@@ -328,7 +340,7 @@
 			must := len(pc.told) == 0
 			for _, l := range pc.laid {
 				s := p.seats.get(l.host)
-				must = must || urgent && (s == nil || !s.in || s.fresh)
+				must = must || urgent && !p.awaitsList(l.host) && (s == nil || !s.in || s.fresh)
 			}
 			pc.told = table
 			p.post(p.to, wanted{t, table, must, 0, p.worth(pc, table)})
@@ -376,7 +388,7 @@
 	s, part := p.seats.get(pc.spare), p.rules.standby
 	if s != nil && s.trial {
 		part = min(part, trialPart)
-	} else if s == nil || !s.in || s.fresh || out.holds(pc.spare) {
+	} else if !p.awaitsList(pc.spare) && (s == nil || !s.in || s.fresh) || out.holds(pc.spare) {
 		if pc.spare = p.spareFor(pc); pc.spare != 0 {
 			p.seats.get(pc.spare).load += pc.weight * part
 		}
@@ -392,7 +404,7 @@
 	main, most := p.seats.get(pc.parts[0].host), 0.0
 	for id, s := range p.seats.all() {
 		score := (s.share - s.load) / s.share * (1 + p.chance()/4)
-		if s.cell != main.cell {
+		if main == nil || s.cell != main.cell {
 			score += 100
 		}
 		if !s.cold {
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -140,97 +140,39 @@
 // flush writes as much of what is wanted as the channel has room for, removals first. What a reply orders is
 // one message a proxy, so a table's new lines and those that go arrive together.
 func (p *publisher) flush() {
-	levels, start := float64(len(p.rules.ways)), len(p.out)
-	cost := &flight{streams: &p.streams, each: p.rules.head + 1, queue: p.rules.queue}
-	heads := float64(p.streams.len()) * cost.each
-	cost.filled, cost.unowned = p.waiting()
-	cost.filled, cost.unowned = cost.filled+heads, cost.unowned+heads
-	p.expectReturns(cost)
-	using := func(t TableID) func(*stream) bool {
-		return func(s *stream) bool { return p.rules.sliced || s.bound && s.table == t || t >= zoneTables }
-	}
-	all := func(*stream) bool { return true }
-	mask := func(open opening, but func(HostID) bool) {
-		for _, id := range p.ajar(open) {
-			if !but(id) && cost.book(urgentPart, 1, all) {
-				p.order(Mask{id, open != opened})
-				p.setMask(id, open != opened)
-			}
-		}
-	}
-	write := func(bare bool, part float64) {
-		first := func(w wanted) float64 { return w.priority(p.now) }
-		if bare {
-			first = func(w wanted) float64 { return -float64(w.at) }
-		}
-		whole := !bare && p.fitsWhole(cost, part)
-		for _, w := range p.wantedBy(bare, first) {
-			t, lines := w.table, w.lines
-			if !whole {
-				lines = p.nextStep(w, !bare)
-			}
-			changes := p.changes(t, lines)
-			if !cost.book(part, float64(len(changes)), using(t)) {
-				break
-			}
-			p.out = append(p.out, changes...)
-			if p.stands.put(t, lines); slices.Equal(lines, w.lines) {
-				p.wants.drop(t)
-			} else if len(changes) > 0 {
-				w.at, w.urgent = p.now, false // its calls go where they should: the rest can wait
-				p.wants.put(t, w)
-			}
-			p.post(p.place, laid{t, lines})
-			for _, l := range lines {
-				if slices.Contains(changes, Order(Mask{l.host, false})) {
-					p.setMask(l.host, false)
-				}
-			}
-			if p.rules.oneOwner {
-				p.shut.put(t, p.now+p.rules.settle)
-			}
-		}
-	}
+	start := len(p.out)
+	d := p.newDraft()
 	// A host goes out of all tables by one line a proxy, with new lines where it would leave a table bare; at
 	// size those that move its slices would fill the channel for longer than a drain's grace. They follow.
 	// A mask that holds a host from more than it should get is not lifted for one table that new lines can help.
 	none := func(HostID) bool { return false }
-	mask(bound, none)
-	write(true, urgentPart)
-	mask(opened, p.over)
+	d.writeMasks(bound, none)
+	d.writeBareTables()
+	d.writeMasks(opened, p.over)
 	// Levels go before tables that can wait: calls were refused for seconds by levels that were no longer wanted.
-	if p.relevels() && cost.book(urgentPart, levels, all) {
+	if p.relevels() && d.cost.book(urgentPart, float64(len(p.rules.ways)), everyStream) {
 		p.writeLevels()
 	}
-	mask(opened, none)
-	mask(closed, func(id HostID) bool { return !p.dispensable(id) })
-	mask(rested, none)
-	write(false, p.ordinaryShare())
-	p.owners(func(t TableID) bool { return cost.book(barePart, 1, using(t)) })
-	for n, s := range p.streams.all() {
-		zone := zoneTables + TableID(s.zone)
-		lines := 2 + float64(len(p.stands.get(s.wants))+len(p.stands.get(zone)))
-		if p.rules.sliced || s.bound && s.wants == s.table || !p.stands.has(s.wants) ||
-			!cost.book(barePart, lines, func(x *stream) bool { return x == s }) {
-			continue
-		}
-		if own := p.rules.ownZone; own != 0 && !s.bound {
-			p.order(Bind{n, zone, own})
-		}
-		if rest := p.rules.everyRoute &^ p.rules.ownZone; rest != 0 {
-			p.order(Bind{n, s.wants, rest})
-		}
-		s.table, s.bound = s.wants, true
-	}
-	if p.since = 0; len(p.out) == start || cost.left.len() == 0 {
-		return
+	d.writeMasks(opened, none)
+	d.writeMasks(closed, func(id HostID) bool { return !p.dispensable(id) })
+	d.writeMasks(rested, none)
+	d.writeOverdueTables()
+	d.writeTables()
+	p.owners(func(t TableID) bool { return d.cost.book(barePart, 1, d.using(t)) })
+	d.bindStreams()
+	if p.since = 0; len(p.out) > start && d.cost.left.len() > 0 {
+		p.send(d.cost)
 	}
+}
+
+// send ends a message with its stamp and notes it as on its way.
+func (p *publisher) send(f *flight) {
 	p.serial = (p.serial + 1) % 65536
-	cost.serial = p.serial
+	f.serial = p.serial
 	p.order(Stamp{p.serial, false})
-	p.clear = max(p.clear, p.now) + Millis(cost.seal()/p.rules.pace)
-	cost.clear, cost.written = p.clear, p.now
-	p.flights = append(p.flights, cost)
+	p.clear = max(p.clear, p.now) + Millis(f.seal()/p.rules.pace)
+	f.clear, f.written = p.clear, p.now
+	p.flights = append(p.flights, f)
 	p.sent = append(p.sent, p.now)
 }
 
--- a/logic/traffic.go
+++ b/logic/traffic.go
@@ -7,10 +7,24 @@
 // and are followed by one that does.
 const elsewhereFor = Millis(10000)
 
+// listWithin is how long after a start the list may take that names hosts which only standing tables name until then:
+// the list from disk is older than those.
+const listWithin = longestWord
+
+// awaitsList says whether a host that standing tables name may yet be in the first list after the start. Planned anew
+// before that, its slices went to other hosts and stayed there.
+func (p *placer) awaitsList(id HostID) bool { return id != 0 && p.listBy > 0 && !p.seats.has(id) }
+
+// usable says whether proxies can use lines of a host.
+func (p *placer) usable(id HostID) bool {
+	s := p.seats.get(id)
+	return s != nil && s.in || p.awaitsList(id)
+}
+
 // open are the lines of a slice's table, as last written, that proxies can use: without those of hosts that are out.
 func (p *placer) open(pc *piece) (open lines) {
 	for _, l := range pc.held {
-		if s := p.seats.get(l.host); s != nil && s.in {
+		if p.usable(l.host) {
 			open = append(open, l)
 		}
 	}
@@ -21,7 +35,7 @@
 // above all, until the table is written anew. Where none is left it is what is planned: that is written first of all.
 func (p *placer) stands(pc *piece) lines {
 	for _, l := range pc.laid {
-		if s := p.seats.get(l.host); s == nil || !s.in {
+		if !p.usable(l.host) {
 			if open := p.open(pc); len(open) > 0 {
 				return open.scaled()
 			}
@@ -57,7 +71,8 @@
 	return p.rules.shared && p.stands.len() > 0 && p.now-p.turned.get(id) < elsewhereFor
 }
 
-// successor is the host that a slice's calls go to once its main one is out, if it can keep them.
+// successor is the host that a slice's calls go to once its main one is out, if it can keep them: by what is reckoned, and
+// by what it shows. In a rollout hosts that were half full kept slice after slice, and answered late for seconds.
 func (p *placer) successor(pc *piece, load float64) *seat {
 	if len(pc.parts) != 1 {
 		return nil
@@ -67,12 +82,18 @@
 		return nil
 	}
 	s := p.seats.get(open.heaviest().host)
-	if s.fresh || s.load+load > s.share*p.most(s) {
+	if s.fresh || !p.showsRoom(s) || s.load+load > s.share*p.most(s) {
 		return nil
 	}
 	return s
 }
 
+// showsRoom says whether a host shows room for more by its own reports, where hosts report how busy they are. While all
+// are full a move gains nothing.
+func (p *placer) showsRoom(s *seat) bool {
+	return p.around.busy == 0 || p.around.busy > strain || s.busy > 0 && s.busy <= roomy
+}
+
 // relief is what a new table takes off hosts: calls a second, times how over-worked their host is.
 func (p *placer) relief(pc *piece, table lines) (sum float64) {
 	now := table.scaled()
--- a/logic/write_order.go
+++ b/logic/write_order.go
@@ -9,11 +9,14 @@
 	calmMessage     = 4    // times the time that its heads take in the channel, between ordinary messages
 	crowdedMessage  = 2    // the same while tables have waited for long
 	longWait        = Millis(2000)
-	reservedMasks   = 3    // hosts that can always go out at once
-	plainWorth      = 0.02 // of a slice's calls: for a change that relieves no host
-	clearlyLess     = 0.1  // of a level: from there a change presses
-	vulnerableWorth = 0.5  // the same for a table that has a single host left to offer
-	heavyPart       = 0.5  // of the heaviest line: a main line of a table, as its calls go there
+	reservedMasks   = 3            // hosts that can always go out at once
+	plainWorth      = 0.02         // of a slice's calls: for a change that relieves no host
+	clearlyLess     = 0.1          // of a level: from there a change presses
+	vulnerableWorth = 0.5          // the same for a table that has a single host left to offer
+	wholeAfter      = Millis(1000) // that a table names a host that is out: then it is written in one step, not in two
+	overdueAfter    = Millis(5000) // that a table names a host that is out: no table is to do so for long
+	overduePart     = 0.7          // of the room of a message, for tables that are overdue
+	heavyPart       = 0.5          // of the heaviest line: a main line of a table, as its calls go there
 )
 
 // worth is what the writing of a new table is worth, in calls a second.
@@ -120,3 +123,29 @@
 	}
 	return out.sorted()
 }
+
+// outFor is how long a host has been out that a wanted table no longer names, and the one that stands does.
+func (p *publisher) outFor(w wanted) (longest Millis) {
+	for _, l := range p.stands.get(w.table) {
+		if p.leaves(w, l) {
+			longest = max(longest, p.now-p.turned.get(l.host))
+		}
+	}
+	return longest
+}
+
+// withoutHostsOut is what stands of a table without the lines that draw no calls and are not wanted.
+func (p *publisher) withoutHostsOut(w wanted) (rest lines) {
+	for _, l := range p.stands.get(w.table) {
+		if !p.leaves(w, l) {
+			rest = append(rest, l)
+		}
+	}
+	return rest
+}
+
+// leaves says whether a standing line goes from a wanted table since its host is out.
+func (p *publisher) leaves(w wanted, l line) bool {
+	door := p.doors.get(l.host)
+	return (door == closed || door == bound) && !w.lines.holds(l.host)
+}
