--- a/logic/write_order.go
+++ b/logic/write_order.go
@@ -15,7 +15,6 @@
 	vulnerableWorth = 0.5          // the same for a table that has a single host left to offer
 	wholeAfter      = Millis(1000) // that a table names a host that is out: then it is written in one step, not in two
 	overdueAfter    = Millis(5000) // that a table names a host that is out: no table is to do so for long
-	overduePart     = 0.7          // of the room of a message, for tables that are overdue
 	heavyPart       = 0.5          // of the heaviest line: a main line of a table, as its calls go there
 )
 
