--- a/logic/admission.go
+++ b/logic/admission.go
@@ -234,3 +234,6 @@
 func (g *gate) usualSpent() float64 {
 	return g.typical(func(s standing) (float64, bool) { return s.spent, s.spent > 0 })
 }
+
+// overloaded says whether more is wanted than all hosts can do, so that calls are turned away.
+func (f fleet) overloaded() bool { return f.wanted > 1 }
--- a/logic/draft.go
+++ b/logic/draft.go
@@ -54,13 +54,14 @@
 	}
 }
 
-// writeTables writes the tables that can wait, by what they are worth.
+// writeTables writes the tables that can wait, by what they are worth. Where not all fit, those whose calls are to move get
+// their main lines first; in an overload all do.
 func (d *draft) writeTables() {
 	part := d.ordinaryShare()
 	whole := d.fitsWhole(d.cost, part)
 	for _, w := range d.wantedBy(false, d.urgency) {
 		lines := w.lines
-		if !whole && (w.urgent || d.outFor(w) <= wholeAfter) {
+		if !whole && (w.urgent || d.place.around.overloaded() || d.outFor(w) <= wholeAfter) {
 			lines = d.nextStep(w, true)
 		}
 		d.write(w, lines, part)
--- a/logic/traffic.go
+++ b/logic/traffic.go
@@ -88,10 +88,10 @@
 	return s
 }
 
-// showsRoom says whether a host shows room for more by its own reports, where hosts report how busy they are. While all
-// are full a move gains nothing.
+// showsRoom says whether a host shows room for more by its own reports, where hosts report how busy they are. In an overload
+// a move gains nothing.
 func (p *placer) showsRoom(s *seat) bool {
-	return p.around.busy == 0 || p.around.busy > strain || s.busy > 0 && s.busy <= roomy
+	return p.around.busy == 0 || p.around.overloaded() || s.busy > 0 && s.busy <= roomy
 }
 
 // relief is what a new table takes off hosts: calls a second, times how over-worked their host is.
