--- a/logic/logic.go
+++ b/logic/logic.go
@@ -5,8 +5,8 @@
 // The interface is in api.go, what parts hold in parts.go, inboxes in loop.go, sums and maps in collections.go, what
 // operators are told in observe.go, the reasons in docs/design.md. Parts: Director (logic.go, forget.go), a host
 // actor for each host (host.go, health.go, age.go), placer (placement.go: the block tree and the paper's run;
-// traffic.go), gate (admission.go: levels, further tries), publisher (publish.go, masks.go, channel.go,
-// write_order.go: what stands, what is wanted, what the channel bears).
+// traffic.go), gate (admission.go: levels, further tries), publisher (publish.go, draft.go, masks.go,
+// channel.go, write_order.go: what stands, what is wanted, what the channel bears).
 package logic
 
 import (
