--- a/logic/channel.go
+++ b/logic/channel.go
@@ -7,6 +7,11 @@
 
 // The channel: what may still wait in it, what proxies have acknowledged, and what is written again.
 
+// fits says whether that part of the queue has room for lines.
+func (f *flight) fits(part, lines float64) bool {
+	return f.filled+lines <= f.queue*part && f.unowned+lines <= f.queue*surePart
+}
+
 // book charges lines to each proxy that uses a table, if that part of the queue has room for all of them.
 func (f *flight) book(part, lines float64, uses func(*stream) bool) bool {
 	var users []ProxyID
@@ -16,7 +21,7 @@
 		}
 	}
 	more := lines * float64(len(users))
-	if f.filled+more > f.queue*part || f.unowned+more > f.queue*surePart {
+	if !f.fits(part, more) {
 		return false
 	}
 	back := f.returned + lines*f.returning
--- a/logic/draft.go
+++ b/logic/draft.go
@@ -48,6 +48,9 @@
 func (d *draft) writeOverdueTables() {
 	part := d.ordinaryShare()
 	for _, w := range d.wantedBy(false, d.urgency) {
+		if d.full(part) {
+			return
+		}
 		if d.outFor(w) > overdueAfter && !d.write(w, w.lines, part) {
 			d.write(w, d.withoutHostsOut(w), part)
 		}
@@ -60,6 +63,9 @@
 	part := d.ordinaryShare()
 	whole := d.fitsWhole(d.cost, part)
 	for _, w := range d.wantedBy(false, d.urgency) {
+		if d.full(part) {
+			return
+		}
 		lines := w.lines
 		if !whole && (w.urgent || d.place.around.overloaded() || d.outFor(w) <= wholeAfter) {
 			lines = d.nextStep(w, true)
@@ -68,12 +74,20 @@
 	}
 }
 
+// full says whether there is no room for a line to all proxies.
+func (d *draft) full(part float64) bool {
+	return d.rules.sliced && !d.cost.fits(part, float64(d.streams.len()))
+}
+
 func (d *draft) urgency(w wanted) float64 { return w.priority(d.now) }
 
 // write puts the lines that a table is to hold next into the message, if that part of the queue has room for them. A
 // table that has none does not hold up those behind it: a smaller one may fit.
 func (d *draft) write(w wanted, next lines, part float64) (written bool) {
 	t, changes := w.table, d.changes(w.table, next)
+	if d.rules.sliced && !d.cost.fits(part, float64(len(changes)*d.streams.len())) {
+		return false // told without a walk over all proxies, of which there are thousands, for each of as many tables
+	}
 	if !d.cost.book(part, float64(len(changes)), d.using(t)) {
 		return false
 	}
--- a/logic/write_order.go
+++ b/logic/write_order.go
@@ -78,7 +78,7 @@
 // fitsWhole says whether the message being filled has room for all wanted tables as they are.
 func (p *publisher) fitsWhole(message *flight, part float64) bool {
 	needed := p.neededLines(false)
-	return message.filled+needed <= message.queue*part && message.unowned+needed <= message.queue*surePart
+	return message.fits(part, needed)
 }
 
 // nextStep is what a table is to hold next where not all that is wanted fits: what its calls need, and the rest once
