--- a/internal/nets/errors.go
+++ b/internal/nets/errors.go
@@ -15,11 +15,6 @@
 // noWay are those of a connection that could not even be tried: no port, no route, a call that was interrupted.
 var noWay = []error{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EINTR, syscall.EAGAIN}
 
-// nobodyCame are the errors of accept(2) where no connection waits any more, or the one that waited is gone: Linux passes on
-// what its network met meanwhile.
-var nobodyCame = []error{syscall.EAGAIN, syscall.EINTR, syscall.ECONNABORTED, syscall.EPROTO, syscall.ENETDOWN, syscall.ENOPROTOOPT,
-	syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT}
-
 func isOneOf(err error, all []error) bool {
 	return slices.ContainsFunc(all, func(one error) bool { return errors.Is(err, one) })
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,7 +77,7 @@
 	s.meters = newMeters(s)
 	s.follow = follow.NewSeveral(follow.Source{Directors: set.Directors, Proxy: set.Name, Zone: set.Zone, Rate: set.Rate, Wait: set.Wait,
 		Kept: set.Kept, Seen: s.take, Joined: watch.Joined, Log: log}, set.FollowAll)
-	ln, err := nets.NewListener(set.Listen, nil, log)
+	ln, err := netpoll.CreateListener("tcp", set.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen %s: %w", set.Listen, err)
 	}
