--- a/review/standin/explore.go
+++ b/review/standin/explore.go
@@ -12,7 +12,7 @@
 
 // explore is no case: it plays a release among disruptions that KINDS names (hand: slices change hands; cold: proxies
 // restart; outage: relays go silent; hup: new configurations; restart: directors are killed; crash: hosts die and come
-// back; wrong: the list forgets hosts; ghosts: it adds some that are none of ours), by default with broken calls, broken news and broken streams, which "quiet" leaves out. SEED and RATE set the
+// back; wrong: the list forgets hosts; zone: a zone is lost; ghosts: it adds some that are none of ours), by default with broken calls, broken news and broken streams, which "quiet" leaves out. SEED and RATE set the
 // draw and the calls a second.
 func explore(dir, record string) int {
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
@@ -168,6 +168,23 @@
 			}
 		})
 	}
+	if has("zone") { // a zone is lost for 5 s and returns cold before the list has noticed, or after
+		for i, t := range []float64{14, 40} {
+			at(t, func() {
+				for _, h := range w.hosts {
+					if h.zone != w.p.zones[i] || h.status != "active" || !h.up {
+						continue
+					}
+					w.die(h)
+					if i == 1 {
+						w.after(1500, func() { w.list(h, "left") })
+					}
+					w.after(5000, func() { w.comeUp(h) })
+					w.after(5000+430+w.rng.Float64()*1470, func() { w.list(h, "active") })
+				}
+			})
+		}
+	}
 	if has("crash") {
 		crash := func() {
 			for range 2 {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -131,7 +131,9 @@
 
 // list has discovery tell all directors the present state of a host. The caller holds mu.
 func (w *world) list(h *host, status string) {
-	h.status = status
+	if h.status = status; status == "active" {
+		h.knownAt = w.now()
+	}
 	w.log("list: %s is %s", h.name, status)
 	for _, d := range w.directors {
 		d.tell(h)
--- a/review/standin/reset.go
+++ b/review/standin/reset.go
@@ -52,5 +52,5 @@
 	}
 	w.mu.Unlock()
 	w.run(base + 35000)
-	return w.finish("drains kept", "a short queue")
+	return w.finish("drains kept")
 }
