Review: the scripts end all that they started, and exit with 2 where a case can't run

SIGTERM to run.sh left the stand-in and its directors running until their own end; a director that died by itself gave 1, so a false finding, and case 2 without its reset gave 0. Now the stand-in ends within 115 s, with its script and with its directors, and each of these gives 2.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,7 +8,11 @@
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
 export RUN TMPDIR=$dir
-timeout -k 2 112 bin/review-standin zone "$here/record.txt"
+# The stand-in ends by itself within 115 s, and as soon as this script has ended; it ends the directors with it.
+bin/review-standin zone "$here/record.txt" &
+pid=$!
+trap 'kill "$pid" 2>/dev/null; wait "$pid"; exit 2' TERM INT HUP
+wait "$pid"
 status=$?
 [ $status -le 1 ] || status=2
 exit $status
--- a/review/standin/director.go
+++ b/review/standin/director.go
@@ -14,6 +14,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,7 @@
 	logPath    string
 	process    *os.Process
 	exited     chan error
+	stopping   atomic.Bool // the program is being ended by the case
 
 	usedAt      float64 // when it first answered a ping since its start; 0: not yet
 	brokenUntil float64 // until when the time limits wait, because the relay broke a call or the news
@@ -247,6 +249,7 @@
 	cmd.Env = append(os.Environ(), "GW_NAME="+d.name, "GW_LISTEN="+d.listen, "GW_DISCOVERY="+d.discovery.Addr().String(), "GW_CONFIG="+d.configPath)
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	d.stopping.Store(false)
 	if err := cmd.Start(); err != nil {
 		fail("%v", err)
 	}
@@ -260,6 +263,9 @@
 		startedMu.Lock()
 		delete(started, cmd.Process)
 		startedMu.Unlock()
+		if !d.stopping.Load() {
+			fail("director %s ended by itself: %v", d.name, err)
+		}
 		exited <- err
 	}()
 	d.process, d.exited = cmd.Process, exited
@@ -296,6 +302,7 @@
 	w.log("director %s is sent %v", d.name, sig)
 	d.usedAt = 0
 	w.mu.Unlock()
+	d.stopping.Store(true)
 	d.process.Signal(sig)
 	select {
 	case <-d.exited:
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 )
 
 var (
@@ -30,9 +31,31 @@
 	for p := range started {
 		p.Kill()
 	}
+	if workDir != "" && os.Getenv("KEEP") == "" {
+		os.RemoveAll(workDir)
+	}
 	os.Exit(2)
 }
 
+// timeLimit is the longest time that a case may take.
+const timeLimit = 115 * time.Second
+
+// watch ends the program at its time limit, and when the process that started it has ended.
+func watch() {
+	parent, began := os.Getppid(), time.Now()
+	for {
+		time.Sleep(200 * time.Millisecond)
+		if os.Getppid() != parent {
+			fail("the script has ended")
+		}
+		if time.Since(began) > timeLimit {
+			fail("the time limit is over")
+		}
+	}
+}
+
+var workDir string // the folder of the settings and logs of the directors
+
 func main() {
 	if len(os.Args) != 3 || runCommand == "" {
 		fail("usage: RUN=... TMPDIR=... standin CASE RECORD")
@@ -41,6 +64,8 @@
 	if err != nil {
 		fail("%v", err)
 	}
+	workDir = dir
+	go watch()
 	cases := map[string]func(dir, record string) int{"zone": zone, "pieces": pieces, "join": join, "reset": relayReset, "explore": explore}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/standin/reset.go
+++ b/review/standin/reset.go
@@ -35,9 +35,9 @@
 			w.list(h, "leaving")
 		}
 	})
+	resets := 0
 	if trouble {
 		d := w.directors[0]
-		resets := 0
 		d.resetOn = func(ops []op) bool {
 			for _, o := range ops {
 				if resets == 0 && o.Verb == "withdraw" && o.Endpoint == w.hosts[0].name {
@@ -52,5 +52,8 @@
 	}
 	w.mu.Unlock()
 	w.run(base + 35000)
+	if trouble && resets == 0 {
+		fail("the director made no call to reset")
+	}
 	return w.finish("drains kept")
 }
