Masks of a former process are unknown at a start and lifted, not taken for off

Cause: the publisher took "not masked" for granted of each host that it had not masked itself (setAvailability set masked to false for a host seen for the first time; addProxy went over hosts already in availability). Silence does not end that state, as docs/design.md had it: a host that is masked everywhere never answers, and silence counts from an answer.

Change: a proxy that joins with what it holds, and that this start has not met, may mask any host. Such hosts are not counted on; the mask is lifted at once where a table has no other host to offer, else within what ordinary tables may fill of the queue. Proxies that hold nothing mask nobody.

Three older scenarios play a first start and count masks; their proxies now join holding nothing ("fresh"), as they do there.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -78,6 +78,7 @@
 // Handle.
 func New(seed uint64, now logic.Millis, svc Service, saved SavedState) (*Core, []any) {
 	cfg := svc.Config
+	cfg.MasksRecorded = true
 	c := &Core{svc: svc, module: logic.New(seed, cfg), ids: newIDRegistry(svc.Zones, cfg.Proxies, &saved), history: saved.History,
 		channel:    channel.New(cfg.LinesPerSecond, cfg.MessageWindow),
 		aggregator: aggregate.New(cfg.Slices > 0, cfg.ReportInterval, cfg.ReportLinesPerSecond),
--- a/logic/api.go
+++ b/logic/api.go
@@ -101,6 +101,9 @@
 	// RejectedMayHaveRun is set if a host may have begun a call that it rejects as overloaded, RemovalIsAdvisory if a
 	// host may still be in service although the host list has dropped it.
 	RejectedMayHaveRun, RemovalIsAdvisory bool
+	// MasksRecorded is set if the program records masks and reports those of an earlier start as InheritedMask.
+	// Otherwise a proxy that is not fresh may hold any mask of an earlier start.
+	MasksRecorded bool
 	// Weighted is set if the weights of the host list are meaningful.
 	Weighted    bool
 	LoadColumns []string
--- a/logic/channel.go
+++ b/logic/channel.go
@@ -137,6 +137,7 @@
 	if !p.isSilent() {
 		return
 	}
+	p.resuspectMasks(p.inFlight[0].writtenAt)
 	p.inFlight = nil
 	p.channelResets++
 	for id := range p.availability.all() {
--- a/logic/forget.go
+++ b/logic/forget.go
@@ -26,23 +26,24 @@
 		d.hosts.delete(id)
 		d.placer.hosts.delete(id)
 		d.admitter.hosts.delete(id)
-		d.publisher.availability.delete(id)
-		d.publisher.changedAt.delete(id)
-		if !d.publisher.masked.get(id) {
-			d.publisher.masked.delete(id)
-			d.publisher.maskedAt.delete(id)
-		}
+		d.publisher.forgetHost(id)
 	}
 }
 
-// referencedHosts returns the hosts that any published or wanted table names.
-func (p *publisher) referencedHosts() map[HostID]bool {
-	referenced := map[HostID]bool{}
+// namedHosts returns the hosts that any published table names.
+func (p *publisher) namedHosts() map[HostID]bool {
+	named := map[HostID]bool{}
 	for _, table := range p.current.all() {
 		for _, l := range table {
-			referenced[l.host] = true
+			named[l.host] = true
 		}
 	}
+	return named
+}
+
+// referencedHosts returns the hosts that any published or wanted table names.
+func (p *publisher) referencedHosts() map[HostID]bool {
+	referenced := p.namedHosts()
 	for _, w := range p.pending.all() {
 		for _, l := range w.lines {
 			referenced[l.host] = true
--- a/logic/loop.go
+++ b/logic/loop.go
@@ -213,6 +213,8 @@
 		p.setAvailability(msg)
 	case admissionLevels:
 		p.levels = msg
+	case hostAdded:
+		p.addHost(msg.host)
 	case InheritedMask:
 		p.inheritMask(msg)
 	case ProxyJoined:
--- a/logic/masks.go
+++ b/logic/masks.go
@@ -10,6 +10,9 @@
 
 // isMaskOutdated reports whether a host's mask at the proxies differs from what it should be, or is unknown.
 func (p *publisher) isMaskOutdated(id HostID) bool {
+	if p.inherited.hosts.has(id) {
+		return true
+	}
 	return p.availability.has(id) && (!p.masked.has(id) || p.masked.get(id) == (p.availability.get(id) == available))
 }
 
@@ -102,9 +105,10 @@
 	if p.params.singleOwner {
 		return // there a table has no other host
 	}
-	if !p.availability.has(n.host) && !p.masked.has(n.host) {
+	if !p.availability.has(n.host) && !p.masked.has(n.host) && !p.inherited.hosts.has(n.host) {
 		p.masked.set(n.host, false)
 	}
+	p.inherited.hosts.delete(n.host) // its mask stays unknown, but is written like any other from now on
 	if n.availability == resting && p.isOnlyHost(n.host) {
 		n.availability = available
 	}
--- a/logic/placement.go
+++ b/logic/placement.go
@@ -13,9 +13,7 @@
 	if s == nil {
 		s = &placementHost{}
 		p.hosts.set(n.id, s)
-		if p.publisher.masked.get(n.id) {
-			p.post(p.publisher, availabilityChange{n.id, available}) // proxies still mask it by an order of an earlier start, or from before it was forgotten
-		}
+		p.post(p.publisher, hostAdded{n.id})
 	}
 	p.dirty = p.dirty || s.onTrial != n.onTrial || !s.fresh && n.fresh
 	s.hostStatus = n
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -178,9 +178,9 @@
 	case "take":
 		s.events = append(s.events, SliceOwnership{TableID(parseNumber(rest[0])), false})
 		delete(s.tables, TableID(parseNumber(rest[0])))
-	case "join":
+	case "join", "fresh": // with what they hold, or holding nothing
 		for _, w := range rest {
-			s.events = append(s.events, ProxyJoined{Proxy: ProxyID(parseNumber(w)), Rate: 5})
+			s.events = append(s.events, ProxyJoined{Proxy: ProxyID(parseNumber(w)), Fresh: words[0] == "fresh", Rate: 5})
 			s.joined[ProxyID(parseNumber(w))] = true
 		}
 	case "left":
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -42,6 +42,7 @@
 }
 
 func (p *publisher) addProxy(n ProxyJoined) {
+	isNew := !p.proxies.has(n.Proxy) && !p.missedSince.has(n.Proxy)
 	from := p.takeMissedSince(n)
 	for id, state := range p.availability.all() {
 		// It missed what was written while it was away, masks and their removal alike. A proxy that holds nothing has
@@ -52,7 +53,17 @@
 	}
 	p.writtenLevels = admissionLevels{} // it may hold outdated levels
 	s := &joinedProxy{zone: n.Zone}
-	if known := p.proxies.get(n.Proxy); known != nil {
+	known := p.proxies.get(n.Proxy)
+	switch {
+	case n.Fresh:
+	case isNew:
+		p.suspectInheritedMasks()
+	case known != nil:
+		p.resuspectMasks(p.oldestUnacknowledged(n.Proxy))
+	default:
+		p.resuspectMasks(from)
+	}
+	if known != nil {
 		// It may have left and come back unnoticed, or have been there all along: what is in the channel for it stays
 		// counted until it acknowledges something later. Counted as gone, everything written before the gap was
 		// forgotten, and as much again was written on top of it.
@@ -77,21 +88,30 @@
 
 // removeProxy handles a proxy that left: what it did not acknowledge may not have reached it.
 func (p *publisher) removeProxy(n ProxyLeft) {
-	from := p.now
+	p.missedSince.set(n.Proxy, p.oldestUnacknowledged(n.Proxy))
 	for _, f := range p.inFlight {
-		if f.unacknowledged.has(n.Proxy) {
-			from = min(from, f.writtenAt)
-		}
 		f.unacknowledged.delete(n.Proxy)
 	}
-	p.missedSince.set(n.Proxy, from)
 	p.leftAt.set(n.Proxy, p.now)
 	p.proxies.delete(n.Proxy)
 	p.extendWriteStops()
 }
 
+// oldestUnacknowledged returns when the oldest message was written that a proxy has not acknowledged, or the present
+// time if there is none.
+func (p *publisher) oldestUnacknowledged(n ProxyID) Millis {
+	oldest := p.now
+	for _, f := range p.inFlight {
+		if f.unacknowledged.has(n) {
+			oldest = min(oldest, f.writtenAt)
+		}
+	}
+	return oldest
+}
+
 // setMask records a mask as written.
 func (p *publisher) setMask(id HostID, on bool) {
+	p.inherited.hosts.delete(id)
 	p.masked.set(id, on)
 	p.maskedAt.set(id, p.now)
 }
@@ -113,11 +133,12 @@
 	ruleMasks, exclusions := len(p.hostsToMask(excludedByRule)) > 0,
 		slices.ContainsFunc(p.hostsToMask(excluded), p.isDispensable)
 	critical = critical || exclusions || slices.ContainsFunc(p.hostsToMask(available), p.isOnlyConfirmedHost) ||
+		p.dependsOnInheritedMask() ||
 		p.isTightening() ||
 		p.levelsChanged() && p.writtenLevels.level == nil && slices.Min(p.levels.level) < 1
 	trackSince(&p.urgentSince, critical || ruleMasks || urgent, p.now)
 	trackSince(&p.pendingSince, p.pending.len() > 0 || bindingDue || writeStopDue || p.levelsChanged() ||
-		len(p.hostsToMask(available)) > 0 || len(p.hostsToMask(resting)) > 0, p.now)
+		len(p.hostsToMask(available)) > 0 || len(p.hostsToMask(resting)) > 0 || len(p.inheritedToLift()) > 0, p.now)
 	p.sentAt = slices.DeleteFunc(p.sentAt, func(t Millis) bool { return p.now-t > p.params.messageWindow+batchDelay })
 	// Each message has an overhead for each proxy: messages that carry little would fill the channel of a large fleet.
 	overheadTime := p.overheadInterval()
@@ -138,7 +159,7 @@
 		return true
 	}
 	return p.pendingSince > 0 && p.now-p.pendingSince >= batchDelay && p.now-last >= gap && written < most*ordinaryBudget &&
-		(!p.params.sliced || p.isWorthSending(p.ordinaryShare(), p.pendingLines(false)))
+		(!p.params.sliced || p.isWorthSending(p.ordinaryShare(), p.pendingLines(false)+p.inheritedLines()))
 }
 
 // writePending writes as much of the pending changes as the channel has room for, removals of hosts first. What one
@@ -153,6 +174,7 @@
 	none := func(HostID) bool { return false }
 	d.writeMasks(excludedByRule, none)
 	d.writeExhaustedTables()
+	d.liftInheritedMasks(urgentBudget, p.isOnlyHost)
 	d.writeMasks(available, p.exceedsWanted)
 	// Levels are written before tables that can wait: outdated levels rejected calls for seconds.
 	if p.levelsChanged() && d.message.reserve(urgentBudget, float64(len(p.params.retryModes)), everyProxy) {
@@ -161,8 +183,12 @@
 	d.writeMasks(available, none)
 	d.writeMasks(excluded, func(id HostID) bool { return !p.isDispensable(id) })
 	d.writeMasks(resting, none)
+	ordinary := p.ordinaryShare()
+	d.liftInheritedMasks(ordinary, func(id HostID) bool { return !p.exceedsWanted(id) && p.isOnlyConfirmedHost(id) })
+	d.liftInheritedMasks(ordinary, p.isOnlyConfirmedHost)
 	d.writeOverdueTables()
 	d.writeTables()
+	d.liftInheritedMasks(ordinary, func(id HostID) bool { return !p.isHeldBack(id) })
 	p.updateWriteStops(func(t TableID) bool { return d.message.reserve(unslicedBudget, 1, d.usersOf(t)) })
 	d.bindProxies()
 	if p.pendingSince = 0; len(p.orders) > start && d.message.unacknowledged.len() > 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -7,6 +7,7 @@
 	sliced, singleOwner, hostListOnRequest, removalIsAdvisory bool
 	mayProbe                                                  bool
 
+	masksRecorded bool    // whether masks of an earlier start are reported
 	sharedProxies bool    // whether proxies also hold tables of other directors
 	weighted      bool    // whether the weights in the host list are meaningful
 	freshShare    float64 // part of its share that a host gets just after its start
@@ -82,7 +83,8 @@
 		level      []float64
 		retryModes []int
 	}
-	storedTable struct { // the lines of a slice as found in the store
+	hostAdded   struct{ host HostID } // the placer learned of a host
+	storedTable struct {              // the lines of a slice as found in the store
 		table TableID
 		lines lines
 	}
@@ -294,6 +296,7 @@
 	changedAt             orderedMap[HostID, Millis]       // when the wanted availability last changed
 	masked                orderedMap[HostID, bool]         // the masks as last written, where they are known
 	maskedAt              orderedMap[HostID, Millis]       // when they were written
+	inherited             inheritedMasks
 	// Proxies that left, with the time since when they may have missed what was written, and when they left.
 	missedSince orderedMap[ProxyID, Millis]
 	leftAt      orderedMap[ProxyID, Millis]
