Messages that the channel may not have taken count for proxies that come back

Cause: a message counts for the proxies that were known as it was written. It goes to all that are joined when the relay carries it out, which may be later (no connection, an attempt without an answer) or just when hundreds are back of whom the director hears a moment later. Their lines of it were counted nowhere, and the next message was filled on top of them.

Change: until a proxy acknowledges a message, it counts for each proxy that joins; the first acknowledgement tells when the channel took it, and proxies that joined well after that are let go. The room for proxies that left a moment ago covers such earlier messages, too. Dropped orders are reported before the state that the relay resends.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -443,6 +443,7 @@
 func (d *director) discardOrders() {
 	ops := d.outbox.Reset()
 	d.log.Info("orders.void", "orders", len(ops), "why", "relay connection was lost; the relay resends its state")
+	d.reportDropped() // before the events of the state that the relay resends
 	d.resyncSlices(ops)
 }
 
--- a/logic/channel.go
+++ b/logic/channel.go
@@ -39,7 +39,8 @@
 const proxyReturnTime = Millis(30000)
 
 // reserveForReturns leaves room for proxies that left recently. When a network partition ends they come back by the
-// hundred, and what is written goes to all that are back, while the director learns of them a moment later.
+// hundred, and what is written goes to all that are back, while the director learns of them a moment later. So do earlier
+// messages that the channel may not have taken yet.
 func (p *publisher) reserveForReturns(f *channelMessage) {
 	if !p.params.sliced {
 		return
@@ -47,7 +48,13 @@
 	for _, left := range p.leftAt.all() {
 		f.returningProxies += float64(bit(p.now-left < proxyReturnTime, 0))
 	}
-	f.returningLines = f.returningProxies * f.overhead
+	linesEach := f.overhead
+	for _, earlier := range p.inFlight {
+		if !earlier.isWritten {
+			linesEach += earlier.linesEach
+		}
+	}
+	f.returningLines = f.returningProxies * linesEach
 }
 
 // addOverhead adds the overhead of each proxy's message and returns the lines of all messages.
@@ -83,6 +90,7 @@
 		if f.serial == n.Serial && !(f.isRepeat && p.now-n.Latency < f.writtenAt) {
 			for _, before := range p.inFlight[:i+1] {
 				before.unacknowledged.delete(n.Proxy)
+				p.recordWritten(before, p.now-n.Latency)
 			}
 			f.unconfirmedSince = 0
 			p.acknowledgedAt = p.now
@@ -90,6 +98,32 @@
 	}
 }
 
+// countUnwritten counts messages for a proxy that joins which the channel may not have taken yet: while the relay can't be
+// reached they wait, and once written they go to all that are joined by then.
+func (p *publisher) countUnwritten(n ProxyID) {
+	if !p.params.sliced {
+		return // there a proxy gets what is written after its tables are bound
+	}
+	for _, f := range p.inFlight {
+		if !f.isWritten {
+			f.unacknowledged.set(n, f.linesEach)
+		}
+	}
+}
+
+// recordWritten records that the channel took a message by a time: proxies that joined well after that do not get it.
+func (p *publisher) recordWritten(f *channelMessage, at Millis) {
+	if f.isWritten {
+		return
+	}
+	f.isWritten = true
+	for n := range f.unacknowledged.all() {
+		if s := p.proxies.get(n); s != nil && s.joinedAt > at+p.params.worstTransit {
+			f.unacknowledged.delete(n)
+		}
+	}
+}
+
 func (p *publisher) extendWriteStops() {
 	for t, until := range p.writesStoppedUntil.all() {
 		p.writesStoppedUntil.set(t, max(until, p.now+p.params.settleTime))
@@ -190,7 +224,7 @@
 		if !f.isRepeat {
 			p.distrustSince(f.writtenAt)
 		}
-		f.unconfirmedSince = 0
+		f.unconfirmedSince, f.isWritten = 0, true // if at all, it was written before
 		left--
 		return left < 0
 	})
@@ -237,7 +271,7 @@
 		p.clearAt = max(p.clearAt, p.now) + Millis(size/p.params.linesPerMilli)
 		f.clearAt, f.unconfirmedSince, filled, all = p.clearAt, 0, filled+size, all+size
 		// Both have the same stamp: what a proxy acknowledges of the first copy frees no room of the second.
-		repeat := &channelMessage{serial: f.serial, clearAt: p.clearAt, isRepeat: true, writtenAt: p.now}
+		repeat := &channelMessage{serial: f.serial, linesEach: f.linesEach, clearAt: p.clearAt, isRepeat: true, writtenAt: p.now}
 		for n, lines := range f.unacknowledged.all() {
 			repeat.unacknowledged.set(n, lines)
 		}
--- a/logic/play_test.go
+++ b/logic/play_test.go
@@ -36,6 +36,8 @@
 	acksLost          bool
 	nextAlive         Millis            // when the next sign of life of the acknowledgement stream comes; 0 for none
 	sentWhileLost     map[SerialID]bool // stamps written while acknowledgements were lost
+	isCut             bool              // the channel takes nothing for now
+	waitingForChannel []message         // what was written while it did not, in order
 	orders            []Order
 	movedSlices       int
 	unacknowledged    map[ProxyID][]message // what each proxy has not acknowledged, in the order of its stream
@@ -220,6 +222,14 @@
 		s.acksLost = true
 	case "hears": // they arrive again
 		s.acksLost = false
+	case "cut": // the channel takes nothing from now on: what is written waits
+		s.isCut = true
+	case "back": // it takes what waited, for all proxies that are joined now
+		s.isCut = false
+		for _, m := range s.waitingForChannel {
+			s.takeMessage(m)
+		}
+		s.waitingForChannel = nil
 	case "run":
 		s.handle()
 		for end := s.now + Millis(parseNumber(rest[0])); s.now < end; {
@@ -242,6 +252,14 @@
 	}
 }
 
+// takeMessage puts a message into the channel, for each proxy that is joined.
+func (s *scenarioRunner) takeMessage(m message) {
+	for p := range s.joined {
+		s.unacknowledged[p] = append(s.unacknowledged[p], m)
+	}
+	s.acknowledge(m.serial)
+}
+
 // lastStamp returns the serial of the last reply.
 func (s *scenarioRunner) lastStamp() SerialID {
 	for _, o := range s.orders {
@@ -381,12 +399,13 @@
 		case SetTimer:
 			s.timers = append(s.timers, s.now+o.Delay)
 		case Stamp:
-			for p := range s.joined {
-				s.unacknowledged[p] = append(s.unacknowledged[p],
-					message{o.Serial, s.config.MessageOverhead + float64(len(orders)-1)})
-			}
+			m := message{o.Serial, s.config.MessageOverhead + float64(len(orders)-1)}
 			s.sentWhileLost[o.Serial] = s.acksLost
-			s.acknowledge(o.Serial)
+			if s.isCut {
+				s.waitingForChannel = append(s.waitingForChannel, m)
+			} else {
+				s.takeMessage(m)
+			}
 		case Resend:
 			if s.sentWhileLost[o.Serial] { // the first one never reached the channel
 				s.acknowledge(o.Serial)
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -52,7 +52,7 @@
 		}
 	}
 	p.writtenLevels = admissionLevels{} // it may hold outdated levels
-	s := &joinedProxy{zone: n.Zone}
+	s := &joinedProxy{zone: n.Zone, joinedAt: p.now}
 	known := p.proxies.get(n.Proxy)
 	switch {
 	case n.Fresh:
@@ -69,6 +69,8 @@
 		// forgotten, and as much again was written on top of it.
 		s.wantedTable = known.wantedTable
 		p.extendWriteStops()
+	} else {
+		p.countUnwritten(n.Proxy)
 	}
 	p.proxies.set(n.Proxy, s)
 }
@@ -203,6 +205,9 @@
 	p.emit(Stamp{p.serial, false})
 	p.clearAt = max(p.clearAt, p.now) + Millis(f.addOverhead()/p.params.linesPerMilli)
 	f.clearAt, f.writtenAt = p.clearAt, p.now
+	for _, n := range f.unacknowledged.all() {
+		f.linesEach = max(f.linesEach, n)
+	}
 	p.inFlight = append(p.inFlight, f)
 	p.sentAt = append(p.sentAt, p.now)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -254,12 +254,15 @@
 	table, wantedTable TableID
 	zone               ZoneID
 	bound              bool
+	joinedAt           Millis
 }
 
 // channelMessage is the messages of one reply that are in flight, with the number of lines sent to each proxy.
 type channelMessage struct {
 	serial         SerialID
 	unacknowledged orderedMap[ProxyID, float64]
+	linesEach      float64 // most lines to one proxy
+	isWritten      bool    // a proxy has acknowledged it, so it has reached the channel
 	// Used while the message is filled: the proxies that may get lines, the overhead of a message to a proxy in lines,
 	// the queue limit, and the lines in the queue including this message.
 	proxies                      *orderedMap[ProxyID, *joinedProxy]
