A reply that is given up after many attempts does not keep silence from being noticed

Log of n0: five to seven attempts of one call without an answer, given up when the relay begins anew with copies=6: 20,700 lines counted in a channel of 8,300.

Change: copies of a reply that is given up count until proxies acknowledge something later, or nobody acknowledges anything for the silence timeout on a connection that is alive, like any other message.

--- a/logic/channel.go
+++ b/logic/channel.go
@@ -158,7 +158,8 @@
 		return false
 	}
 	for _, f := range p.inFlight {
-		if f.unconfirmedSince > 0 || f.isRepeat || p.now < f.clearAt+p.silenceTimeout() {
+		isUnsettled := f.unconfirmedSince > 0 || f.isRepeat && !f.isGivenUp
+		if isUnsettled || p.now < f.clearAt+p.silenceTimeout() {
 			return false
 		}
 	}
@@ -224,7 +225,7 @@
 		if !f.isRepeat {
 			p.distrustSince(f.writtenAt)
 		}
-		f.unconfirmedSince, f.isWritten = 0, true // if at all, it was written before
+		f.unconfirmedSince, f.isWritten, f.isGivenUp = 0, true, true
 		left--
 		return left < 0
 	})
--- a/logic/state.go
+++ b/logic/state.go
@@ -262,7 +262,8 @@
 	serial         SerialID
 	unacknowledged orderedMap[ProxyID, float64]
 	linesEach      float64 // most lines to one proxy
-	isWritten      bool    // a proxy has acknowledged it, so it has reached the channel
+	isWritten      bool    // the channel has taken it by now, if at all; later proxies do not get it
+	isGivenUp      bool    // the program will not write it any more
 	// Used while the message is filled: the proxies that may get lines, the overhead of a message to a proxy in lines,
 	// the queue limit, and the lines in the queue including this message.
 	proxies                      *orderedMap[ProxyID, *joinedProxy]
