--- a/logic/inherited_masks.go
+++ b/logic/inherited_masks.go
@@ -6,6 +6,9 @@
 // with all that they hold. A host that may be masked so is not counted on, and the mask is lifted: at once where a table
 // has no other host to offer, soon where it has none that is known to be unmasked, else when the channel has room.
 
+// optionalLiftShare is the part of the room for ordinary tables up to which masks are lifted that no table waits for.
+const optionalLiftShare = 0.5
+
 // inheritedMasks are the masks that proxies may hold by orders of an earlier start.
 type inheritedMasks struct {
 	possible bool                     // a proxy has joined that may hold any
--- a/logic/publish.go
+++ b/logic/publish.go
@@ -190,7 +190,7 @@
 	d.liftInheritedMasks(ordinary, p.isOnlyConfirmedHost)
 	d.writeOverdueTables()
 	d.writeTables()
-	d.liftInheritedMasks(ordinary, func(HostID) bool { return true })
+	d.liftInheritedMasks(ordinary*optionalLiftShare, func(HostID) bool { return true })
 	p.updateWriteStops(func(t TableID) bool { return d.message.reserve(unslicedBudget, 1, d.usersOf(t)) })
 	d.bindProxies()
 	if p.pendingSince = 0; len(p.orders) > start && d.message.unacknowledged.len() > 0 {
