--- a/internal/ci/main_test.go
+++ b/internal/ci/main_test.go
@@ -11,7 +11,8 @@
 
 func TestParseKnownFailures(t *testing.T) {
 	tree := fstest.MapFS{"a/a_test.go": {Data: []byte("package a\nfunc TestA(t *testing.T) {}\nfunc TestB(t *testing.T) {}\n")},
-		"b/b_test.go":     {Data: []byte("package b\nfunc TestB(t *testing.T) {}\nfunc TestC(t *testing.T) {}\nfunc TestD(t *testing.T) {}\n")},
+		"b/b_test.go": {Data: []byte("package b\nfunc TestB(t *testing.T) {}\nfunc TestC(t *testing.T) {}\n" +
+			"func TestD(t *testing.T) {}\n")},
 		"b/b.go":          {Data: []byte("package b\nfunc TestE(t *testing.T) {}\n")},
 		"review/3/run.sh": {Data: []byte("#!/bin/bash\n")},
 		".x/hid_test.go":  {Data: []byte("package x\nfunc TestA(t *testing.T) {}\n")}}
@@ -31,8 +32,9 @@
 		"TestA | c | x | ": "issue", " | c | x | issue 1": "name", "TestB | c | x | issue 1": "2 times",
 		"TestE | c | x | issue 1": "0 times", "TestA | c | x | issue 1\nTestA | d | y | issue 2": "twice",
 		"Test.* | c | x | issue 1": "name", "TestA/sub | c | x | issue 1": "name",
-		"\nTestA | c | x | issue 1\n\nTestC | c | x | issue 1": "line 2",
-		"review/4/run.sh | c | x | issue 1":                    "review/4/run.sh", "review/build.sh | c | x | issue 1": "name",
+		"\nTestA | c | x | issue 1\n\nTestC | c | x | issue 1":                 "line 2",
+		"review/4/run.sh | c | x | issue 1":                                    "review/4/run.sh",
+		"review/build.sh | c | x | issue 1":                                    "name",
 		"review/3/run.sh | c | x | issue 1\nreview/3/run.sh | c | x | issue 1": "twice",
 	} {
 		if got, err := parseKnownFailures(text, tree); err == nil || !strings.Contains(err.Error(), why) {
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -50,7 +50,8 @@
 // concerned to the module again.
 func (d *director) restoreAfterDrop(ops []outbox.Op) {
 	d.resyncSlices(ops)
-	if slices.ContainsFunc(ops, func(o outbox.Op) bool { return o.Table == outbox.NoTable && o.Kind != outbox.AckRequest }) {
+	isMaskOrLevel := func(o outbox.Op) bool { return o.Table == outbox.NoTable && o.Kind != outbox.AckRequest }
+	if slices.ContainsFunc(ops, isMaskOrLevel) {
 		// Masks or levels were dropped: the module writes them again for proxies that it takes for newly joined.
 		d.events = append(d.events, d.relayState.ResyncProxies()...)
 	}
--- a/internal/platform/dropped_test.go
+++ b/internal/platform/dropped_test.go
@@ -22,8 +22,8 @@
 	drainLimit  = 2300 * time.Millisecond
 )
 
-// Guards against a director that orders nothing for seconds after one reset of its relay's connections under a call: the
-// call was dropped, while the module counted it twice as in a channel that has no room for that at this size.
+// Guards against a director that orders nothing for seconds after one reset of its relay's connections under a call:
+// the call was dropped, while the module counted it twice as in a channel that has no room for that at this size.
 func TestADrainIsKeptAfterAResetUnderItsCall(t *testing.T) {
 	const proxies = 150
 	s := newTestEnv(t)
--- a/internal/platform/outbox/outbox.go
+++ b/internal/platform/outbox/outbox.go
@@ -170,8 +170,8 @@
 	}
 }
 
-// dropUnanswerable drops the queued acknowledgement requests if the orders that they were to confirm are all gone: a call
-// without other ops reaches no proxy, so none would answer them.
+// dropUnanswerable drops the queued acknowledgement requests if the orders that they were to confirm are all gone: a
+// call without other ops reaches no proxy, so none would answer them.
 func (q *Queue) dropUnanswerable() {
 	isNeeded := func(o Op) bool { return o.Kind != AckRequest || o.partlySent }
 	if !slices.ContainsFunc(q.queued, isNeeded) {
--- a/internal/platform/stubs_test.go
+++ b/internal/platform/stubs_test.go
@@ -23,8 +23,8 @@
 	state       []string // notifications that describe the present state
 	subscribers map[net.Conn]bool
 	// faults holds the outcomes of the next calls, in order: ok, before (connection closed before the call is applied),
-	// reset (the same, with the connections of all subscribers a moment later), after (closed after it), silent (no answer), garbled (malformed answer), throttled, part (no op is applied: the
-	// first one is at fault).
+	// reset (the same, with the connections of all subscribers a moment later), after (closed after it), silent (no
+	// answer), garbled (malformed answer), throttled, part (no op is applied: the first one is at fault).
 	faults []string
 	lines  map[string]float64 // weight by cluster/endpoint
 	masked map[string]bool
--- a/logic/channel.go
+++ b/logic/channel.go
@@ -39,8 +39,8 @@
 const proxyReturnTime = Millis(30000)
 
 // reserveForReturns leaves room for proxies that left recently. When a network partition ends they come back by the
-// hundred, and what is written goes to all that are back, while the director learns of them a moment later. So do earlier
-// messages that the channel may not have taken yet.
+// hundred, and what is written goes to all that are back, while the director learns of them a moment later. So do
+// earlier messages that the channel may not have taken yet.
 func (p *publisher) reserveForReturns(f *channelMessage) {
 	if !p.params.sliced {
 		return
@@ -98,8 +98,8 @@
 	}
 }
 
-// countUnwritten counts messages for a proxy that joins which the channel may not have taken yet: while the relay can't be
-// reached they wait, and once written they go to all that are joined by then.
+// countUnwritten counts the messages that the channel may not have taken yet for a proxy that joins: while the relay
+// can't be reached they wait, and once written they go to all that are joined by then.
 func (p *publisher) countUnwritten(n ProxyID) {
 	if !p.params.sliced {
 		return // there a proxy gets what is written after its tables are bound
@@ -272,7 +272,8 @@
 		p.clearAt = max(p.clearAt, p.now) + Millis(size/p.params.linesPerMilli)
 		f.clearAt, f.unconfirmedSince, filled, all = p.clearAt, 0, filled+size, all+size
 		// Both have the same stamp: what a proxy acknowledges of the first copy frees no room of the second.
-		repeat := &channelMessage{serial: f.serial, linesEach: f.linesEach, clearAt: p.clearAt, isRepeat: true, writtenAt: p.now}
+		repeat := &channelMessage{serial: f.serial, linesEach: f.linesEach, clearAt: p.clearAt, isRepeat: true,
+			writtenAt: p.now}
 		for n, lines := range f.unacknowledged.all() {
 			repeat.unacknowledged.set(n, lines)
 		}
--- a/logic/inherited_masks.go
+++ b/logic/inherited_masks.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// Inherited masks: a director that starts over does not know which hosts its former process masked, while proxies go on
-// with all that they hold. A host that may be masked so is not counted on, and the mask is lifted: at once where a table
-// has no other host to offer, soon where it has none that is known to be unmasked, else when the channel has room.
+// Inherited masks: a director that starts over does not know which hosts its former process masked, while proxies go
+// on with all that they hold. A host that may be masked so is not counted on, and the mask is lifted: at once where a
+// table has no other host to offer, soon where it has none that is known to be unmasked, else when the channel has room.
 
 // optionalLiftShare is the part of the room for ordinary tables up to which masks are lifted that no table waits for.
 const optionalLiftShare = 0.5
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,7 +99,8 @@
 func derive(c Config) params {
 	p := params{sliced: c.Slices > 0, singleOwner: c.SingleOwner, hostListOnRequest: c.HostListOnRequest, mayProbe: c.MayProbe,
 		sharedProxies:     c.Directors > 1 && c.Slices > 0 && !c.SingleOwner,
-		removalIsAdvisory: c.RemovalIsAdvisory, masksRecorded: c.MasksRecorded, weighted: c.Weighted, queueLimit: c.QueueLimit, overheadLines: c.MessageOverhead,
+		removalIsAdvisory: c.RemovalIsAdvisory, masksRecorded: c.MasksRecorded, weighted: c.Weighted,
+		queueLimit: c.QueueLimit, overheadLines: c.MessageOverhead,
 		linesPerMilli: max(1, c.LinesPerSecond) / 1000, transit: c.Transit, worstTransit: c.WorstTransit, messageLimit: c.MessageLimit,
 		messageWindow: c.MessageWindow,
 		levelUnit:     c.Levels, reportInterval: max(1, c.ReportInterval), warmUpTime: c.WarmAfter,
