--- a/review/cases2/harness.go
+++ b/review/cases2/harness.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"strconv"
@@ -246,6 +247,13 @@
 		return exitNotRun
 	}
 	defer record.Close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { // the processes end with this one
+		<-stop
+		os.RemoveAll(dir)
+		os.Exit(exitNotRun)
+	}()
 	r := &run{trouble: os.Getenv("TROUBLE") != "0", program: filepath.Join(filepath.Dir(exe), "vetchwood"), dir: dir, start: time.Now(), record: record}
 	r.notef("case %s, TROUBLE=%v", name, r.trouble)
 	defer func() {
