--- a/review/cases2/harness.go
+++ b/review/cases2/harness.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,6 +38,8 @@
 	program string
 	dir     string // temporary folder
 	start   time.Time
+	// descriptors limits the descriptors of the processes that are started, if it is not 0.
+	descriptors int
 
 	mu     sync.Mutex
 	record *os.File
@@ -85,7 +88,11 @@
 	log, err := os.Create(filepath.Join(r.dir, name+".log"))
 	must(err)
 	defer log.Close()
-	p := &process{Cmd: exec.Command(r.program, args...), name: name, exited: make(chan struct{})}
+	command := append([]string{r.program}, args...)
+	if r.descriptors > 0 {
+		command = append([]string{"bash", "-c", fmt.Sprintf("ulimit -n %d; exec \"$@\"", r.descriptors), "bash"}, command...)
+	}
+	p := &process{Cmd: exec.Command(command[0], command[1:]...), name: name, exited: make(chan struct{})}
 	p.Stdout, p.Stderr, p.Dir = log, log, r.dir
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must(p.Start())
@@ -116,11 +123,25 @@
 	}
 }
 
+// given holds the ports that freeAddress has returned.
+var given = map[int]bool{}
+
+// freeAddress returns a free loopback address. Its port is below those that the system gives to outgoing connections, so
+// that none takes it before it is listened on.
 func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range 1000 {
+		port := 10000 + rand.IntN(22000)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			ln.Close()
+			if !given[port] {
+				given[port] = true
+				return ln.Addr().String()
+			}
+		}
+	}
+	failf("no free port")
+	return ""
 }
 
 func (r *run) write(name, text string) string {
