--- a/review/cases2/harness.go
+++ b/review/cases2/harness.go
@@ -32,6 +32,9 @@
 	exitNotRun = 2
 )
 
+// longest is the longest time that a case runs.
+const longest = 110 * time.Second
+
 // run is one run of a case.
 type run struct {
 	trouble bool // the disruption is played
@@ -52,6 +55,7 @@
 type process struct {
 	*exec.Cmd
 	name   string
+	ending bool // the case has told it to end
 	exited chan struct{}
 }
 
@@ -106,12 +110,27 @@
 
 func (r *run) signal(p *process, s syscall.Signal) {
 	r.notef("signal %v to %s", s, p.name)
+	p.ending = true
 	must(p.Process.Signal(s))
 }
 
 // onClose registers what ends with the case.
 func (r *run) onClose(f func()) { r.closed = append(r.closed, f) }
 
+// died returns the names of the processes that have ended without being told to. A case with any says nothing.
+func (r *run) died() (names []string) {
+	for _, p := range r.procs {
+		select {
+		case <-p.exited:
+			if !p.ending {
+				names = append(names, p.name)
+			}
+		default:
+		}
+	}
+	return names
+}
+
 func (r *run) close() {
 	for _, p := range r.procs {
 		p.Process.Signal(syscall.SIGCONT)
@@ -271,13 +290,18 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() { // the processes end with this one
-		<-stop
+		select {
+		case <-stop:
+		case <-time.After(longest):
+			fmt.Println("could not run: not ended within", longest)
+		}
 		os.RemoveAll(dir)
 		os.Exit(exitNotRun)
 	}()
 	r := &run{trouble: os.Getenv("TROUBLE") != "0", program: filepath.Join(filepath.Dir(exe), "vetchwood"), dir: dir, start: time.Now(), record: record}
 	r.notef("case %s, TROUBLE=%v", name, r.trouble)
 	defer func() {
+		died := r.died()
 		r.close()
 		if x := recover(); x != nil {
 			var reason notRun
@@ -289,6 +313,12 @@
 			}
 			panic(x)
 		}
+		if len(died) > 0 {
+			r.notef("could not run: %v ended by themselves", died)
+			fmt.Println("could not run:", died, "ended by themselves")
+			status = exitNotRun
+			return
+		}
 		fmt.Printf("case %s, TROUBLE=%v: broken %d times\n", name, r.trouble, r.broken)
 		r.notef("end: broken %d times", r.broken)
 		if status = exitHeld; r.broken > 0 {
